--- a/src/jobs/front.rs
+++ b/src/jobs/front.rs
@@ -15,6 +15,9 @@
 /// Seconds after which a user who could not be served may come back.
 const COME_BACK: u64 = 1;
 
+/// A submission that would have to wait longer for the state service's budget is not taken now.
+const QUEUE: crate::time::Micros = SECOND / 4;
+
 fn later() -> Reply {
     Reply::later(503, COME_BACK)
 }
@@ -150,7 +153,7 @@
         if !self.state_ok() {
             return later();
         }
-        if self.store.write_backlog() {
+        if self.store.write_queue() > QUEUE {
             return Reply::later(429, COME_BACK);
         }
         let t = Txn {
--- a/src/members/keep.rs
+++ b/src/members/keep.rs
@@ -83,7 +83,7 @@
     pub async fn parts_loop(self: Rc<Node>) {
         loop {
             let l = self.wake.listen();
-            futures_lite::FutureExt::or(async { l.await }, async {
+            futures_lite::FutureExt::or(l, async {
                 self.sleep(SECOND / 3).await;
             })
             .await;
--- a/src/node.rs
+++ b/src/node.rs
@@ -414,11 +414,7 @@
             if !self.woken.replace(false) {
                 let l = self.wake.listen();
                 if !self.woken.replace(false) {
-                    async { l.await }
-                        .or(async {
-                            self.sleep(IDLE_PASS).await;
-                        })
-                        .await;
+                    l.or(self.sleep(IDLE_PASS)).await;
                     self.woken.set(false);
                 }
             }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -62,6 +62,11 @@
     entitled: bool,
 }
 
+/// A task, its machine and the machine's session.
+type Target = (u32, Rc<str>, u64);
+/// A task to stop: job, number, attempt, what it takes, time to save.
+type Victim = (JobId, u32, u32, Room, Micros);
+
 struct Usage {
     cpus: i64,
     gpus: i64,
@@ -281,7 +286,7 @@
 }
 
 /// One intent per machine for independent tasks, one for a whole gang.
-fn split(job: &JobId, kind: Shape, got: Vec<(u32, Rc<str>, u64)>, out: &mut Vec<Intent>) {
+fn split(job: &JobId, kind: Shape, got: Vec<Target>, out: &mut Vec<Intent>) {
     if kind == Shape::Gang {
         out.push(Intent::Place {
             job: job.clone(),
@@ -289,7 +294,7 @@
         });
         return;
     }
-    let mut by: BTreeMap<Rc<str>, Vec<(u32, Rc<str>, u64)>> = BTreeMap::new();
+    let mut by: BTreeMap<Rc<str>, Vec<Target>> = BTreeMap::new();
     for t in got {
         by.entry(t.1.clone()).or_default().push(t);
     }
@@ -484,7 +489,7 @@
             }
         }
     }
-    let mut pick: Option<(i64, usize, Vec<(JobId, u32, u32, Room, Micros)>)> = None;
+    let mut pick: Option<(i64, usize, Vec<Victim>)> = None;
     for (k, sp) in spots.iter().enumerate() {
         if !fits(sp) {
             continue;
--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -39,21 +39,31 @@
             at: 0,
         }
     }
-    /// Takes `n`, or tells how long to wait.
-    pub fn take(&mut self, n: f64, now: Micros) -> Result<(), Micros> {
-        let cap = self.rate.max(1.0).max(n);
+    fn fill(&mut self, now: Micros) {
         if self.at > 0 {
             self.level += now.saturating_sub(self.at) as f64 / 1e6 * self.rate;
         }
         self.at = now;
-        self.level = self.level.min(cap);
-        if self.level >= n {
-            self.level -= n;
-            Ok(())
+        self.level = self.level.min(self.rate.max(1.0));
+    }
+    /// Takes `n` and tells how long to wait for it. Whoever asks first is served first.
+    pub fn take(&mut self, n: f64, now: Micros) -> Micros {
+        self.fill(now);
+        self.level -= n;
+        self.wait()
+    }
+    fn wait(&self) -> Micros {
+        if self.level >= 0.0 {
+            0
         } else {
-            Err(((n - self.level) / self.rate * 1e6) as Micros + MILLI)
+            (-self.level / self.rate * 1e6) as Micros + MILLI
         }
     }
+    /// How long one more would have to wait.
+    pub fn queue(&mut self, now: Micros) -> Micros {
+        self.fill(now);
+        self.wait()
+    }
 }
 
 /// The client.
@@ -93,28 +103,20 @@
     }
 
     async fn budget(&self, writes: usize) {
-        loop {
-            let now = self.clock.now();
-            let wait = match self.requests.borrow_mut().take(1.0, now) {
-                Ok(()) => break,
-                Err(w) => w,
-            };
-            Timer::after(dur(wait)).await;
+        let now = self.clock.now();
+        let mut wait = self.requests.borrow_mut().take(1.0, now);
+        if writes > 0 {
+            wait = wait.max(self.writes.borrow_mut().take(writes as f64, now));
         }
-        while writes > 0 {
-            let now = self.clock.now();
-            let wait = match self.writes.borrow_mut().take(writes as f64, now) {
-                Ok(()) => break,
-                Err(w) => w,
-            };
+        if wait > 0 {
             Timer::after(dur(wait)).await;
         }
     }
 
-    /// Whether a write would have to wait for the budget.
-    pub fn write_backlog(&self) -> bool {
-        let b = self.writes.borrow();
-        b.level < 1.0 && self.clock.now().saturating_sub(b.at) < SECOND / 4
+    /// How long a write would have to wait for the budget.
+    pub fn write_queue(&self) -> Micros {
+        let now = self.clock.now();
+        self.writes.borrow_mut().queue(now)
     }
 
     async fn call(
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -260,7 +260,7 @@
     fn absent(&self, key: &(JobId, u32), attempt: u32) -> bool {
         let a = (key.0.clone(), key.1, attempt);
         self.fenced()
-            && !self.tasks.get(key).is_some_and(|s| s.attempt == attempt)
+            && self.tasks.get(key).is_none_or(|s| s.attempt != attempt)
             && !self.unanswered.contains(&a)
             // A start in the answer to a report is executed before the next report, or never.
             && self.in_response.get(&a).is_none_or(|n| self.report_tick > *n)
@@ -361,16 +361,16 @@
                     attempt: u64::from(p.attempt),
                 });
             }
-            (Some(s), None) if s.attempt < p.attempt && response => {
-                // The old attempt is cleared or stopped above, in the same answer.
-                if s.status == TaskStatus::Exited {
-                    m.in_response
-                        .insert((key.0.clone(), key.1, p.attempt), m.report_tick);
-                    out.push(Order::Start {
-                        shard: task_name(&key.0, key.1),
-                        attempt: u64::from(p.attempt),
-                    });
-                }
+            // The old attempt is cleared above, in the same answer.
+            (Some(s), None)
+                if response && s.attempt < p.attempt && s.status == TaskStatus::Exited =>
+            {
+                m.in_response
+                    .insert((key.0.clone(), key.1, p.attempt), m.report_tick);
+                out.push(Order::Start {
+                    shard: task_name(&key.0, key.1),
+                    attempt: u64::from(p.attempt),
+                });
             }
             (Some(s), Some(grace)) if s.attempt == p.attempt => {
                 let saving = s.status == TaskStatus::Saving && grace > 0;
