--- a/src/hosts/lead.rs
+++ b/src/hosts/lead.rs
@@ -104,6 +104,7 @@
                 view: &view,
                 forecast: &forecast,
                 policy: &self.policy,
+                objectives: &self.settings.objectives,
                 wall,
                 refused: &is_refused,
                 idle_since: &mem.idle_since,
--- a/src/hosts/mod.rs
+++ b/src/hosts/mod.rs
@@ -7,6 +7,7 @@
 use crate::jobs::model::Room;
 use crate::placement::Plan;
 use crate::policy::Policy;
+use crate::settings::{Objective, ObjectiveKind};
 use crate::store::view::View;
 use crate::time::{Micros, SECOND, from_secs};
 use crate::wire::cloud::MachineType;
@@ -23,6 +24,8 @@
     pub forecast: &'a Plan,
     /// Policy.
     pub policy: &'a Policy,
+    /// Aims of the classes.
+    pub objectives: &'a [Objective],
     /// Time of day.
     pub wall: Micros,
     /// Whether a combination of type, zone and kind was refused just now.
@@ -81,21 +84,25 @@
     for (id, n) in &o.forecast.unplaced {
         let Some(j) = v.jobs.get(id) else { continue };
         let s = &j.spec;
-        let types: Vec<&MachineType> = v
+        let mut types: Vec<&MachineType> = v
             .types
             .values()
             .filter(|t| {
                 s.types.as_ref().is_none_or(|l| l.contains(&t.sku)) && Room::of(t).fits(&s.room)
             })
             .collect();
+        // Machines with GPUs cost several times as much: not for those who could do without.
+        if s.room.gpus == 0 && types.iter().any(|t| t.accelerators == 0.0) {
+            types.retain(|t| t.accelerators == 0.0);
+        }
         let Some(per) = types.iter().map(|t| Room::of(t).times(&s.room)).max() else {
             continue;
         };
         let whole = f64::from(*n) / per.max(1) as f64;
         let horizon = match (s.kind, s.rank) {
             (Shape::Service, _) | (_, Rank::Production | Rank::High) => None,
-            (_, Rank::Normal) => Some(o.policy.drain_normal),
-            (_, Rank::Low) => Some(o.policy.drain_low),
+            (_, Rank::Normal) => Some(horizon(o, &s.class, o.policy.drain_normal)),
+            (_, Rank::Low) => Some(horizon(o, &s.class, o.policy.drain_low)),
         };
         let wanted = match horizon {
             None => whole,
@@ -111,7 +118,31 @@
                         && matches!(h.state, HostState::Up | HostState::Booting)
                 })
                 .count() as f64;
-            wanted.max((whole - have).max(0.0))
+            // All of the class's work, waiting and under way, over the time that it may take: what
+            // the machines at hand will get through is not rented for once more.
+            let work: f64 = v
+                .jobs
+                .values()
+                .filter(|x| x.spec.kind == Shape::Gang && x.spec.class == s.class)
+                .map(|x| {
+                    let tasks = f64::from(x.waiting) + f64::from(x.placed) / 2.0;
+                    tasks / per.max(1) as f64 * x.spec.estimate.max(SECOND) as f64
+                })
+                .sum();
+            let lack = work / horizon.unwrap_or(SECOND) as f64 - have;
+            // Each waiting gang brings this up: spread over them.
+            let gangs = o
+                .forecast
+                .unplaced
+                .iter()
+                .filter(|(id, _)| {
+                    v.jobs
+                        .get(id)
+                        .is_some_and(|x| x.spec.kind == Shape::Gang && x.spec.class == s.class)
+                })
+                .count()
+                .max(1) as f64;
+            (lack / gangs).max(whole - have).clamp(0.0, whole)
         } else {
             wanted
         };
@@ -214,6 +245,20 @@
     out
 }
 
+/// The time in which a class's backlog should drain: a part of what its aims allow.
+fn horizon(o: &Outlook<'_>, class: &str, default: Micros) -> Micros {
+    o.objectives
+        .iter()
+        .filter(|x| x.class == class)
+        .map(|x| match x.kind {
+            ObjectiveKind::Finished => (x.within as f64 * o.policy.finish_share) as Micros,
+            ObjectiveKind::Wait => (x.within as f64 * o.policy.wait_share) as Micros,
+        })
+        .min()
+        .unwrap_or(default)
+        .max(SECOND)
+}
+
 /// CPUs that should be at hand for services.
 fn spare_need(o: &Outlook<'_>) -> i64 {
     let services = o
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -50,6 +50,8 @@
     free: Room,
     stopping: Room,
     whole: Room,
+    /// There are machine types without GPUs.
+    elsewhere: bool,
 }
 
 /// An entry of the queue: some waiting tasks of a job.
@@ -83,6 +85,7 @@
 pub fn plan(s: &Scene<'_>) -> Plan {
     let v = s.view;
     let mut out = Plan::default();
+    let elsewhere = v.types.values().any(|t| t.accelerators == 0.0);
     let mut spots: Vec<Spot<'_>> = v
         .hosts
         .iter()
@@ -109,6 +112,7 @@
                 free,
                 stopping,
                 whole,
+                elsewhere,
             })
         })
         .collect();
@@ -345,6 +349,13 @@
 
 /// What a spot offers this job: on a machine with GPUs, others get what its users leave.
 fn offer(spec: &Spec, sp: &Spot<'_>, gpu_need: &Room) -> Room {
+    if spec.room.gpus == 0 && sp.whole.gpus > 0 && sp.elsewhere {
+        // Such a machine costs several times as much. A service would hold it for long, and so
+        // would a stream of short tasks once nobody needs its GPUs: only beside a task that does.
+        if spec.kind == Shape::Service || sp.free.gpus == sp.whole.gpus {
+            return Room::default();
+        }
+    }
     if spec.room.gpus == 0 && sp.whole.gpus > 0 && gpu_need.gpus > 0 {
         let n = (sp.whole.gpus / gpu_need.gpus.max(1)).max(1);
         let keep = Room {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -26,6 +26,10 @@
     pub drain_normal: Micros,
     /// The backlog of low work should drain within this time.
     pub drain_low: Micros,
+    /// Backlogs should drain within this share of the time that a class's aim at finishing allows.
+    pub finish_share: f64,
+    /// The same for an aim at starting.
+    pub wait_share: f64,
     /// At most so many machines.
     pub max_machines: u64,
 }
@@ -39,9 +43,11 @@
             lost_after: 8 * SECOND,
             service_spare: 0.08,
             use_spot: true,
-            idle_return: 25 * SECOND,
+            idle_return: 12 * SECOND,
             drain_normal: 45 * SECOND,
             drain_low: 90 * SECOND,
+            finish_share: 0.4,
+            wait_share: 0.6,
             max_machines: 500,
         }
     }
@@ -116,6 +122,8 @@
                 "idle_return_s" => p.idle_return = from_secs(num(0.0, 86_400.0)?),
                 "drain_normal_s" => p.drain_normal = from_secs(num(1.0, 86_400.0)?),
                 "drain_low_s" => p.drain_low = from_secs(num(1.0, 86_400.0)?),
+                "finish_share" => p.finish_share = num(0.01, 10.0)?,
+                "wait_share" => p.wait_share = num(0.01, 10.0)?,
                 "max_machines" => p.max_machines = num(0.0, 100_000.0)? as u64,
                 "use_spot" => match v {
                     Value::Boolean(b) => p.use_spot = b,
