Guard every change of an attempt by its part's term

Ruled out: late direct starts (the worker had seen the newer token), late placements (guarded by the terms already). Now every change of an attempt guards the term of its machine's part, nothing is concluded while the state service is not heard, a request is never sent a second time on a new connection, and a returned machine's key is not written again from what its owner remembers.

--- a/src/jobs/commit.rs
+++ b/src/jobs/commit.rs
@@ -176,6 +176,14 @@
         }
     };
     let mut placed = false;
+    // What is said of an attempt holds only while its machine's part has the same owner: a
+    // controller that was cut off may send "its lease ended" and have it delivered a minute later,
+    // when a newer owner has long kept that lease alive.
+    let owner = |g: &mut Group, host: &str| {
+        let part = keys::part(part_of(host));
+        let stamp = view.stamp(&part);
+        g.guards.insert(part, stamp);
+    };
     for intent in list {
         match intent {
             Intent::Left {
@@ -185,6 +193,7 @@
                 ..
             } => match slot(&changed, *index) {
                 Some(Slot::Placed(p)) if p.attempt == *attempt => {
+                    owner(&mut g, &p.host);
                     let whole = *done && spec.kind == Shape::Gang;
                     if whole {
                         // A gang completes together: if one task is done, every one is.
@@ -209,6 +218,7 @@
                     && p.attempt == *attempt
                     && p.stop.is_none_or(|g| g > *grace)
                 {
+                    owner(&mut g, &p.host);
                     let stop = Some(*grace);
                     set(&mut changed, *index, Slot::Placed(Placement { stop, ..p }));
                 }
@@ -243,9 +253,7 @@
                             stop: None,
                         }),
                     );
-                    let part = keys::part(part_of(host));
-                    let stamp = view.stamp(&part);
-                    g.guards.insert(part, stamp);
+                    owner(&mut g, host);
                     let host = keys::host(host);
                     let stamp = view.stamp(&host);
                     g.guards.insert(host, stamp);
--- a/src/node.rs
+++ b/src/node.rs
@@ -432,7 +432,7 @@
             let view = self.view.borrow();
             self.adopt_machines(&view, now);
             let mut intents: Vec<Intent> = Vec::new();
-            {
+            if self.state_ok() {
                 let machines = self.machines.borrow();
                 for (id, m) in machines.iter() {
                     workers::reconcile(&view, id, m, self.settings.lease, now, &mut intents);
--- a/src/wire/client.rs
+++ b/src/wire/client.rs
@@ -39,9 +39,8 @@
 const IDLE_PER_ADDRESS: usize = 4;
 
 impl Client {
-    /// Sends one request and reads its answer within `limit`. A connection that went stale while
-    /// idle is replaced once, but only when no byte of an answer came: the caller must treat every
-    /// error as "may have been carried out".
+    /// Sends one request and reads its answer within `limit`. The caller must treat every error as
+    /// "may have been carried out, or may yet be".
     pub async fn call(
         &self,
         addr: SocketAddr,
@@ -65,11 +64,16 @@
         path: &str,
         body: Option<Vec<u8>>,
     ) -> Result<Answer, WireError> {
-        let idle = self.idle.borrow_mut().get_mut(&addr).and_then(Vec::pop);
-        if let Some(s) = idle
-            && let Ok(a) = self.one(addr, s, method, path, body.clone()).await
-        {
-            return Ok(a);
+        // A kept connection is used only if the other side has not closed it meanwhile. Nothing is
+        // ever sent twice: a first copy that seems lost may still be carried out, much later.
+        while let Some(s) = self.pop(addr) {
+            let mut one = [0u8; 1];
+            if futures_lite::future::poll_once(s.peek(&mut one))
+                .await
+                .is_none()
+            {
+                return self.one(addr, s, method, path, body).await;
+            }
         }
         let s = TcpStream::connect(addr)
             .await
@@ -78,6 +82,10 @@
         self.one(addr, s, method, path, body).await
     }
 
+    fn pop(&self, addr: SocketAddr) -> Option<TcpStream> {
+        self.idle.borrow_mut().get_mut(&addr)?.pop()
+    }
+
     async fn one(
         &self,
         addr: SocketAddr,
--- a/src/workers/drive.rs
+++ b/src/workers/drive.rs
@@ -194,7 +194,8 @@
         let Some(h) = have else {
             // Unexpected machines are used: they are paid for.
             let (kind, zone, spot, addr) = m.about.clone()?;
-            if !m.fenced() {
+            // Its key may also be gone because it was returned: then it is heard no more.
+            if !m.fenced() || now.saturating_sub(m.heard) > self.settings.report {
                 return None;
             }
             return Some(Host {
