--- a/src/hosts/lead.rs
+++ b/src/hosts/lead.rs
@@ -83,6 +83,7 @@
                 view: &view,
                 wall,
                 teams: &self.settings.teams,
+                objectives: &self.settings.objectives,
                 responsive: &yes,
                 held_back: &no,
                 forecast: true,
--- a/src/node.rs
+++ b/src/node.rs
@@ -490,6 +490,7 @@
             view,
             wall: wall(),
             teams: &self.settings.teams,
+            objectives: &self.settings.objectives,
             responsive: &responsive,
             held_back: &held_back,
             forecast: false,
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -5,7 +5,7 @@
 use crate::hosts::model::{Host, HostState};
 use crate::jobs::commit::Intent;
 use crate::jobs::model::{JobId, Room, Slot, Spec};
-use crate::settings::Team;
+use crate::settings::{Objective, ObjectiveKind, Team};
 use crate::store::view::{Job, View};
 use crate::time::{Micros, SECOND};
 use crate::wire::user::{Rank, Shape};
@@ -20,6 +20,8 @@
     pub wall: Micros,
     /// Teams.
     pub teams: &'a [Team],
+    /// Aims of the classes.
+    pub objectives: &'a [Objective],
     /// Whether a machine answers, as far as this node can tell.
     pub responsive: &'a dyn Fn(&str) -> bool,
     /// Whether a job should not be tried just now.
@@ -62,6 +64,7 @@
     from: usize,
     count: usize,
     entitled: bool,
+    turn: (bool, u64),
 }
 
 /// A task, its machine and the machine's session.
@@ -81,6 +84,28 @@
         && (spec.spot || !h.spot)
 }
 
+/// Turn among jobs of one rank that the fairness loop has not told apart: those that can still meet
+/// an aim of their class before those that cannot, and of the former the least work first.
+fn turn(s: &Scene<'_>, job: &Job) -> (bool, u64) {
+    let spec = &job.spec;
+    let age = s.wall.saturating_sub(spec.submitted);
+    let mut aims = s
+        .objectives
+        .iter()
+        .filter(|o| o.class == spec.class)
+        .peekable();
+    let hopeless = aims.peek().is_some()
+        && aims.all(|o| {
+            let run = match o.kind {
+                ObjectiveKind::Finished => spec.estimate,
+                ObjectiveKind::Wait => 0,
+            };
+            age + run > o.within
+        });
+    let work = u64::from(job.waiting) * (spec.estimate / 1000) * spec.room.cpus.max(1) as u64;
+    (hopeless, if hopeless { 0 } else { work })
+}
+
 /// Makes the plan.
 pub fn plan(s: &Scene<'_>) -> Plan {
     let v = s.view;
@@ -157,6 +182,7 @@
             continue;
         }
         let entitled = entitled(&job.spec.team);
+        let turn = turn(s, job);
         let waiting = job.waiting as usize;
         let (n, p) = v.raises.jobs.get(&**id).copied().unwrap_or((0, 0));
         let n = if job.spec.kind == Shape::Gang && n > 0 {
@@ -173,6 +199,7 @@
                     from,
                     count,
                     entitled,
+                    turn,
                 });
             }
         };
@@ -182,7 +209,8 @@
     queue.sort_by(|a, b| {
         (!a.entitled, a.job.spec.rank)
             .cmp(&(!b.entitled, b.job.spec.rank))
-            .then(b.raised.cmp(&a.raised))
+            .then((false as u32 * b.raised).cmp(&(false as u32 * a.raised)))
+            .then(a.turn.cmp(&b.turn))
             .then(a.job.spec.submitted.cmp(&b.job.spec.submitted))
             .then(a.id.cmp(b.id))
     });
