--- a/src/hosts/mod.rs
+++ b/src/hosts/mod.rs
@@ -4,7 +4,7 @@
 mod lead;
 pub mod model;
 
-use crate::jobs::model::Room;
+use crate::jobs::model::{Room, Spec};
 use crate::placement::Plan;
 use crate::policy::Policy;
 use crate::settings::{Objective, ObjectiveKind};
@@ -60,6 +60,89 @@
     wanted: f64,
 }
 
+/// Batch work that the same machine types can take.
+struct Pool<'a> {
+    types: Vec<&'a MachineType>,
+    /// Rank, time in which it should drain, work in machine seconds.
+    load: Vec<(Rank, f64, f64)>,
+    /// Machines that the tasks without a place would fill.
+    whole: f64,
+    /// Machines of the largest gang.
+    gang: f64,
+    spot: bool,
+    zone: Option<&'a String>,
+    room: Room,
+    tasks: u32,
+}
+
+impl<'a> Pool<'a> {
+    fn new(types: Vec<&'a MachineType>) -> Pool<'a> {
+        Pool {
+            types,
+            load: Vec::new(),
+            whole: 0.0,
+            gang: 0.0,
+            spot: true,
+            zone: None,
+            room: Room::default(),
+            tasks: 0,
+        }
+    }
+
+    /// Machines that should come, seen as a flow: what the machines at hand get through in time
+    /// is not rented for; what they do not is shared out over the time left once others are up.
+    fn lack(&self, o: &Outlook<'_>) -> f64 {
+        let mut have = 0.0;
+        let mut count = 0.0;
+        for (id, h) in &o.view.hosts {
+            let Some(t) = self.types.iter().find(|t| t.sku == h.kind) else {
+                continue;
+            };
+            if !matches!(h.state, HostState::Up | HostState::Booting) {
+                continue;
+            }
+            let whole = Room::of(t);
+            let services: i64 = o
+                .view
+                .tasks_on(id)
+                .into_iter()
+                .flatten()
+                .filter_map(|((job, _), _)| o.view.jobs.get(job))
+                .filter(|j| j.spec.kind == Shape::Service)
+                .map(|j| j.spec.room.cpus)
+                .sum();
+            count += 1.0;
+            have += 1.0 - (services as f64 / whole.cpus.max(1) as f64).min(1.0);
+        }
+        let boot = self.types.iter().map(|t| t.ready_s).fold(0.0, f64::max);
+        let mut load = self.load.clone();
+        load.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+        let mut work = 0.0;
+        let mut lack: f64 = 0.0;
+        for (_, h, w) in load {
+            work += w;
+            lack = lack.max((work - have * h) / (h - boot).max(h / 2.0));
+        }
+        lack.max(self.gang - count).clamp(0.0, self.whole)
+    }
+}
+
+/// Types that a job may be given machines of.
+fn candidates<'a>(v: &'a View, s: &Spec) -> Vec<&'a MachineType> {
+    let mut types: Vec<&MachineType> = v
+        .types
+        .values()
+        .filter(|t| {
+            s.types.as_ref().is_none_or(|l| l.contains(&t.sku)) && Room::of(t).fits(&s.room)
+        })
+        .collect();
+    // Machines with GPUs cost several times as much: not for those who could do without.
+    if s.room.gpus == 0 && types.iter().any(|t| t.accelerators == 0.0) {
+        types.retain(|t| t.accelerators == 0.0);
+    }
+    types
+}
+
 /// Decides.
 pub fn decide(o: &Outlook<'_>) -> Decision {
     let mut out = Decision::default();
@@ -81,78 +164,73 @@
         }
     }
     let mut missing: Vec<Missing<'_>> = Vec::new();
-    for (id, n) in &o.forecast.unplaced {
-        let Some(j) = v.jobs.get(id) else { continue };
+    let mut pools: BTreeMap<Vec<&str>, Pool<'_>> = BTreeMap::new();
+    let unplaced: HashMap<&str, u32> = o
+        .forecast
+        .unplaced
+        .iter()
+        .map(|(id, n)| (&**id, *n))
+        .collect();
+    for (id, j) in &v.jobs {
         let s = &j.spec;
-        let mut types: Vec<&MachineType> = v
-            .types
-            .values()
-            .filter(|t| {
-                s.types.as_ref().is_none_or(|l| l.contains(&t.sku)) && Room::of(t).fits(&s.room)
-            })
-            .collect();
-        // Machines with GPUs cost several times as much: not for those who could do without.
-        if s.room.gpus == 0 && types.iter().any(|t| t.accelerators == 0.0) {
-            types.retain(|t| t.accelerators == 0.0);
+        let lacking = unplaced.get(&**id).copied().unwrap_or(0);
+        let service = s.kind == Shape::Service;
+        if s.cancelled || (service && lacking == 0) {
+            continue;
         }
+        let types = candidates(v, s);
         let Some(per) = types.iter().map(|t| Room::of(t).times(&s.room)).max() else {
             continue;
         };
-        let whole = f64::from(*n) / per.max(1) as f64;
-        let horizon = match (s.kind, s.rank) {
-            (Shape::Service, _) | (_, Rank::Production | Rank::High) => None,
-            (_, Rank::Normal) => Some(horizon(o, &s.class, o.policy.drain_normal)),
-            (_, Rank::Low) => Some(horizon(o, &s.class, o.policy.drain_low)),
-        };
-        let wanted = match horizon {
-            None => whole,
-            Some(h) => (whole * s.estimate.max(SECOND) as f64 / h as f64).min(whole),
-        };
-        // A gang needs all of its machines at once, whatever its backlog.
-        let wanted = if s.kind == Shape::Gang {
-            let have = v
-                .hosts
-                .values()
-                .filter(|h| {
-                    types.iter().any(|t| t.sku == h.kind)
-                        && matches!(h.state, HostState::Up | HostState::Booting)
-                })
-                .count() as f64;
-            // All of the class's work, waiting and under way, over the time that it may take: what
-            // the machines at hand will get through is not rented for once more.
-            let work: f64 = v
-                .jobs
-                .values()
-                .filter(|x| x.spec.kind == Shape::Gang && x.spec.class == s.class)
-                .map(|x| {
-                    let tasks = f64::from(x.waiting) + f64::from(x.placed) / 2.0;
-                    tasks / per.max(1) as f64 * x.spec.estimate.max(SECOND) as f64
-                })
-                .sum();
-            let lack = work / horizon.unwrap_or(SECOND) as f64 - have;
-            // Each waiting gang brings this up: spread over them.
-            let gangs = o
-                .forecast
-                .unplaced
-                .iter()
-                .filter(|(id, _)| {
-                    v.jobs
-                        .get(id)
-                        .is_some_and(|x| x.spec.kind == Shape::Gang && x.spec.class == s.class)
-                })
-                .count()
-                .max(1) as f64;
-            (lack / gangs).max(whole - have).clamp(0.0, whole)
+        let per = per.max(1) as f64;
+        let whole = f64::from(lacking) / per;
+        if service || s.rank <= Rank::High {
+            missing.push(Missing {
+                types,
+                zone: s.zone.as_ref(),
+                spot: s.spot && o.policy.use_spot,
+                room: s.room,
+                tasks: lacking,
+                wanted: whole,
+            });
+            continue;
+        }
+        let default = if s.rank == Rank::Low {
+            o.policy.drain_low
         } else {
-            wanted
+            o.policy.drain_normal
         };
+        let run = s.estimate.max(SECOND) as f64 / 1e6;
+        let tasks = f64::from(j.waiting) + f64::from(j.placed) / 2.0;
+        let key: Vec<&str> = types.iter().map(|t| t.sku.as_str()).collect();
+        let pool = pools.entry(key).or_insert_with(|| Pool::new(types));
+        pool.load.push((
+            s.rank,
+            horizon(o, &s.class, default) as f64 / 1e6,
+            tasks * run / per,
+        ));
+        pool.whole += whole;
+        if s.kind == Shape::Gang {
+            pool.gang = pool.gang.max(f64::from(s.tasks) / per);
+        }
+        if lacking > 0 {
+            pool.spot &= s.spot;
+            pool.zone = s.zone.as_ref();
+            pool.room = s.room;
+            pool.tasks += lacking;
+        }
+    }
+    for p in pools.into_values() {
+        if p.tasks == 0 {
+            continue;
+        }
         missing.push(Missing {
-            types,
-            zone: s.zone.as_ref(),
-            spot: s.spot && o.policy.use_spot,
-            room: s.room,
-            tasks: *n,
-            wanted,
+            wanted: p.lack(o),
+            types: p.types,
+            zone: p.zone,
+            spot: p.spot && o.policy.use_spot,
+            room: p.room,
+            tasks: p.tasks,
         });
     }
     // Room that services can have at once: free, or taken by what makes way for them.
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -209,7 +209,7 @@
     queue.sort_by(|a, b| {
         (!a.entitled, a.job.spec.rank)
             .cmp(&(!b.entitled, b.job.spec.rank))
-            .then((false as u32 * b.raised).cmp(&(false as u32 * a.raised)))
+            .then(b.raised.cmp(&a.raised))
             .then(a.turn.cmp(&b.turn))
             .then(a.job.spec.submitted.cmp(&b.job.spec.submitted))
             .then(a.id.cmp(b.id))
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -46,7 +46,7 @@
             idle_return: 12 * SECOND,
             drain_normal: 45 * SECOND,
             drain_low: 90 * SECOND,
-            finish_share: 0.4,
+            finish_share: 0.5,
             wait_share: 0.6,
             max_machines: 500,
         }
