--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -281,7 +281,28 @@
                 if headroom <= 0 {
                     break;
                 }
-                match best(v, spec, &spots, &zones, &gpu_need) {
+                let choice = best(v, spec, &spots, &zones, &gpu_need);
+                // A service starts sooner where lower work makes way beside its image than where
+                // the image has to be fetched first.
+                let cold = |k: usize| !warm(v, spec, &spots[k]);
+                if !s.forecast
+                    && spec.kind == Shape::Service
+                    && spec.rank <= Rank::High
+                    && choice.is_none_or(cold)
+                    && make_room(
+                        v,
+                        e,
+                        &mut spots,
+                        &zones,
+                        &gpu_need,
+                        true,
+                        &mut victims,
+                        &mut out,
+                    )
+                {
+                    continue;
+                }
+                match choice {
                     Some(k) => {
                         let sp = &mut spots[k];
                         sp.free.take(&spec.room);
@@ -292,7 +313,16 @@
                     None => {
                         missing += 1;
                         if !s.forecast && (spec.rank <= Rank::High || e.entitled) {
-                            make_room(v, e, &mut spots, &zones, &gpu_need, &mut victims, &mut out);
+                            make_room(
+                                v,
+                                e,
+                                &mut spots,
+                                &zones,
+                                &gpu_need,
+                                false,
+                                &mut victims,
+                                &mut out,
+                            );
                         }
                     }
                 }
@@ -418,6 +448,13 @@
     true
 }
 
+/// Whether the machine has probably cached the job's image.
+fn warm(v: &View, spec: &Spec, sp: &Spot<'_>) -> bool {
+    v.images
+        .get(&sp.id)
+        .is_some_and(|i| i.contains(&spec.image))
+}
+
 /// Smaller is better.
 fn score(v: &View, spec: &Spec, sp: &Spot<'_>) -> (i64, i64) {
     let mut cost = 0;
@@ -427,11 +464,7 @@
     if sp.host.state == HostState::Booting {
         cost += 8;
     }
-    let warm = v
-        .images
-        .get(&sp.id)
-        .is_some_and(|i| i.contains(&spec.image));
-    if !warm {
+    if !warm(v, spec, sp) {
         cost += 2;
     }
     if spec.spot && !sp.host.spot {
@@ -505,18 +538,24 @@
     Vec::new()
 }
 
-/// Stops lower work on one machine so that one more task fits there.
+/// Stops lower work on one machine so that one more task fits there. False if none can.
+#[allow(clippy::too_many_arguments)]
 fn make_room(
     v: &View,
     e: &Entry<'_>,
     spots: &mut [Spot<'_>],
     zones: &HashMap<&str, u32>,
     gpu_need: &Room,
+    only_warm: bool,
     victims: &mut HashMap<(JobId, u32), ()>,
     out: &mut Plan,
-) {
+) -> bool {
     let spec = &e.job.spec;
-    let fits = |sp: &Spot<'_>| allowed(spec, sp.host) && zone_ok(spec, zones, &sp.host.zone);
+    let fits = |sp: &Spot<'_>| {
+        allowed(spec, sp.host)
+            && zone_ok(spec, zones, &sp.host.zone)
+            && (!only_warm || warm(v, spec, sp))
+    };
     // Room that is on its way already.
     for sp in spots.iter_mut() {
         if fits(sp) {
@@ -524,7 +563,7 @@
             soon.give(&sp.stopping);
             if soon.fits(&spec.room) {
                 sp.free.take(&spec.room);
-                return;
+                return true;
             }
         }
     }
@@ -566,7 +605,10 @@
             pick = Some((cost, k, chosen));
         }
     }
-    if let Some((_, k, chosen)) = pick {
+    let Some((_, k, chosen)) = pick else {
+        return false;
+    };
+    {
         for (id, i, attempt, room, _) in chosen {
             spots[k].stopping.give(&room);
             victims.insert((id.clone(), i), ());
@@ -580,4 +622,5 @@
         }
         spots[k].free.take(&spec.room);
     }
+    true
 }
