Notice dead controllers and machines sooner; pass requests on when refused

Now a silent machine is called and given up when it does not answer, and peers that all miss one controller take over at once.

--- a/src/hosts/lead.rs
+++ b/src/hosts/lead.rs
@@ -18,7 +18,7 @@
 /// How long the cloud may take for an answer.
 const LIMIT: Micros = 5 * SECOND;
 /// The leader looks this often.
-const LOOK: Micros = SECOND / 2;
+const LOOK: Micros = SECOND / 4;
 /// Machine types, for their prices.
 const TYPES_EVERY: Micros = 60 * SECOND;
 /// A refused combination is not asked for again so soon.
--- a/src/jobs/front.rs
+++ b/src/jobs/front.rs
@@ -5,6 +5,7 @@
 use crate::store::client::Outcome;
 use crate::store::keys;
 use crate::time::{SECOND, wall};
+use crate::wire::peer::{FORWARD, Forward, Forwarded, pack, unpack};
 use crate::wire::server::{Ask, Reply};
 use crate::wire::state::{Change, Guard, Txn};
 use crate::wire::user::{JobAnswer, Route, Status, Submission, route, valid_id};
@@ -50,6 +51,70 @@
         }
     }
 
+    /// Answers a user; what cannot be answered for want of the state service is passed on to a peer
+    /// that reaches it. A request carried out twice does no harm: its id is the same.
+    pub async fn on_user_or_forward(&self, a: Ask) -> Reply {
+        let forward = a.body.as_ref().map(|b| Forward {
+            post: a.method == Method::Post,
+            path: a.path.clone(),
+            body: b.clone(),
+        });
+        let reply = self.on_user(a).await;
+        let (503, Some(f)) = (reply.status, forward) else {
+            return reply;
+        };
+        let now = self.clock.now();
+        let to = {
+            let peers = self.peers.borrow();
+            self.settings
+                .siblings
+                .iter()
+                .find(|s| {
+                    peers
+                        .get(&s.name)
+                        .is_some_and(|p| p.state_ok && now.saturating_sub(p.heard) < 2 * SECOND)
+                })
+                .map(|s| s.addr)
+        };
+        let Some(addr) = to else { return reply };
+        let a = self
+            .http
+            .call(addr, Method::Post, FORWARD, Some(pack(&f)), SECOND)
+            .await;
+        match a.ok().and_then(|a| unpack::<Forwarded>(&a.body)) {
+            Some(f) => Reply {
+                status: f.status,
+                body: f.body,
+                retry_after: f.retry_after,
+            },
+            None => reply,
+        }
+    }
+
+    /// Answers a request that a peer passed on.
+    pub async fn on_forward(&self, body: &[u8]) -> Reply {
+        let Some(f) = unpack::<Forward>(body) else {
+            return Reply::status(400);
+        };
+        let method = if f.post { Method::Post } else { Method::Get };
+        let r = self
+            .on_user(Ask {
+                method,
+                path: f.path,
+                body: Some(f.body),
+            })
+            .await;
+        Reply {
+            status: 200,
+            body: pack(&Forwarded {
+                status: r.status,
+                body: r.body,
+                retry_after: r.retry_after,
+            }),
+            retry_after: None,
+        }
+    }
+
     /// The job's state in the view.
     fn seen(&self, id: &str) -> Option<JobAnswer> {
         let v = self.view.borrow();
--- a/src/members/keep.rs
+++ b/src/members/keep.rs
@@ -4,18 +4,22 @@
 use crate::node::{Node, PeerState};
 use crate::store::client::Outcome;
 use crate::store::keys;
+use crate::store::view::View;
 use crate::time::{MILLI, Micros, SECOND, wall};
 use crate::wire::peer::{Hello, PEER, pack, unpack};
 use crate::wire::server::Reply;
 use crate::wire::state::{Change, Guard, Txn};
 use crate::wire::to_value;
 use http_types::Method;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 
 /// A member takes others' parts only once it has been there this long.
 const SETTLED: Micros = 5 * SECOND;
 /// How often peers talk.
-const HELLO: Micros = SECOND;
+const HELLO: Micros = SECOND / 2;
+/// So many calls to a peer must fail in a row before it counts as unreachable.
+const MISSED: u32 = 2;
 /// Silence of our machines after which we look whether it is us.
 const DEAF: Micros = 6 * SECOND;
 /// How long a controller that workers could not reach wants no parts.
@@ -119,7 +123,7 @@
             return None;
         }
         let settled = wall().saturating_sub(SETTLED);
-        let want = assign(&v.parts, &v.members, settled);
+        let want = assign(&v.parts, &self.living(&v), settled);
         let mut raise = self.raise.borrow_mut();
         let member = keys::member(self.me());
         let mut t = Txn {
@@ -195,7 +199,9 @@
             }
             match &v.leader {
                 Some(l) if l.node == self.me() && l.lease == lease => return true,
-                Some(l) if l.node != self.me() => return false,
+                Some(l) if l.node != self.me() && self.living(&v).contains_key(&l.node) => {
+                    return false;
+                }
                 _ => {}
             }
             Txn {
@@ -252,19 +258,61 @@
         let h = Hello {
             node: self.me().to_string(),
             state_ok: self.state_ok(),
+            unreachable: self.unreachable(),
             bounced,
         };
         let body = Some(pack(&h));
-        if let Ok(a) = self
+        let a = self
             .http
             .call(s.addr, Method::Post, PEER, body, SECOND)
-            .await
-            && let Some(p) = unpack::<Hello>(&a.body)
-        {
-            self.note_peer(p);
+            .await;
+        match a.ok().and_then(|a| unpack::<Hello>(&a.body)) {
+            Some(p) => {
+                self.note_peer(p);
+            }
+            None => {
+                let mut peers = self.peers.borrow_mut();
+                if let Some(p) = peers.get_mut(&s.name) {
+                    p.missed += 1;
+                    if p.missed == MISSED {
+                        drop(peers);
+                        self.wake();
+                    }
+                }
+            }
         }
     }
 
+    /// Peers that did not answer us lately.
+    fn unreachable(&self) -> Vec<String> {
+        self.peers
+            .borrow()
+            .iter()
+            .filter(|(_, p)| p.missed >= MISSED)
+            .map(|(n, _)| n.clone())
+            .collect()
+    }
+
+    /// Members without those that nobody reaches any more, although their leases still run. Taking
+    /// over from one that lives is safe (terms fence it), only unkind: so all others that answer us
+    /// must find the same, and at least one must.
+    fn living(&self, v: &View) -> BTreeMap<String, Member> {
+        let peers = self.peers.borrow();
+        let answering: Vec<&PeerState> = peers.values().filter(|p| p.missed < MISSED).collect();
+        let dead = |n: &str| {
+            peers.get(n).is_some_and(|p| p.missed >= MISSED)
+                && !answering.is_empty()
+                && answering
+                    .iter()
+                    .all(|p| p.unreachable.iter().any(|u| u == n))
+        };
+        v.members
+            .iter()
+            .filter(|(n, _)| !dead(n))
+            .map(|(n, m)| (n.clone(), m.clone()))
+            .collect()
+    }
+
     fn note_peer(&self, p: Hello) {
         if !self.settings.siblings.iter().any(|s| s.name == p.node) {
             return;
@@ -274,6 +322,8 @@
             PeerState {
                 heard: self.clock.now(),
                 state_ok: p.state_ok,
+                missed: 0,
+                unreachable: p.unreachable,
             },
         );
     }
@@ -298,6 +348,7 @@
         let me = Hello {
             node: self.me().to_string(),
             state_ok: self.state_ok(),
+            unreachable: self.unreachable(),
             bounced: Vec::new(),
         };
         Reply {
--- a/src/node.rs
+++ b/src/node.rs
@@ -32,6 +32,10 @@
     pub heard: Micros,
     /// Whether it reaches the state service.
     pub state_ok: bool,
+    /// Calls to it that failed in a row.
+    pub missed: u32,
+    /// Whom it cannot reach.
+    pub unreachable: Vec<String>,
 }
 
 /// Failures of a job's tasks, to back off.
@@ -106,7 +110,9 @@
 const IDLE_PASS: Micros = SECOND / 2;
 /// Pause between two reads of the watch: every write would otherwise cost each node a request.
 const WATCH_PAUSE: Micros = 25 * MILLI;
-const WATCH_WAIT: Micros = 2 * SECOND;
+const WATCH_WAIT: Micros = SECOND;
+/// A view that was not read for so long counts as cut off from the state service.
+const STALE: Micros = 3 * SECOND;
 
 impl Node {
     /// A node that has not started yet.
@@ -174,7 +180,7 @@
         let n = self.clone();
         let on_peer = move |a: Ask| {
             let n = n.clone();
-            async move { n.on_peer(a) }
+            async move { n.on_peer(a).await }
         };
         self.ex
             .spawn(serve(self.ex.clone(), peers, gauge.clone(), max, on_peer))
@@ -203,12 +209,15 @@
             };
         }
         if a.path.starts_with("/api/jobs") {
-            return self.on_user(a).await;
+            return self.on_user_or_forward(a).await;
         }
         Reply::status(404)
     }
 
-    fn on_peer(&self, a: Ask) -> Reply {
+    async fn on_peer(&self, a: Ask) -> Reply {
+        if a.path == peer::FORWARD {
+            return self.on_forward(a.body.as_deref().unwrap_or_default()).await;
+        }
         let Some(b) = a.body.filter(|_| a.path == peer::PEER) else {
             return self.inspect(&a.path);
         };
@@ -228,7 +237,7 @@
 
     /// Whether the view was current a moment ago.
     pub fn state_ok(&self) -> bool {
-        self.clock.now().saturating_sub(self.fresh_at.get()) < 4 * SECOND
+        self.clock.now().saturating_sub(self.fresh_at.get()) < STALE
     }
 
     /// Whether the state service is away for every controller, not for us alone: then there is no
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -39,8 +39,8 @@
         Policy {
             fairness_threshold: 0.2,
             fairness_round: 5 * SECOND,
-            member_ttl: 4 * SECOND,
-            lost_after: 8 * SECOND,
+            member_ttl: 3 * SECOND,
+            lost_after: 11 * SECOND / 2,
             service_spare: 0.08,
             use_spot: true,
             idle_return: 12 * SECOND,
--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -80,7 +80,7 @@
 }
 
 /// How long one request may take.
-const LIMIT: Micros = 2 * SECOND;
+const LIMIT: Micros = 3 * SECOND / 2;
 
 impl StoreClient {
     /// A client that takes `share` of the limits.
@@ -219,7 +219,7 @@
         self.budget(0).await;
         let path = state::watch(prefix, after, wait / MILLI);
         // An open watch stays open during an outage; give it time beyond its wait, but not for ever.
-        let limit = if wait == 0 { SECOND } else { wait + 5 * SECOND };
+        let limit = if wait == 0 { SECOND } else { wait + 2 * SECOND };
         self.call(Method::Get, &path, None, limit).await?.ok()
     }
 
--- a/src/workers/drive.rs
+++ b/src/workers/drive.rs
@@ -18,7 +18,7 @@
 /// Orders in one answer: it may hold 64 KiB.
 const PER_ANSWER: usize = 400;
 /// Direct orders that nobody answered in this time count as unanswered.
-const DIRECT: Micros = 2 * SECOND;
+const DIRECT: Micros = 5 * SECOND / 4;
 /// The same direct order is not repeated sooner.
 const REPEAT: Micros = SECOND;
 /// A job whose tasks fail is tried again after this, doubled with each failure.
@@ -235,7 +235,13 @@
             }
         }
         let silent = now.saturating_sub(m.heard);
-        if w.state != HostState::Booting && silent > self.policy.lost_after && !alone {
+        // Silent for longer than between any two reports, and no answer to a call of ours since.
+        let unanswered = m.probe_failed > m.heard;
+        if w.state != HostState::Booting
+            && silent > self.policy.lost_after
+            && (unanswered || silent > 2 * self.policy.lost_after)
+            && !alone
+        {
             tracing::info!(machine = %id, silent, "silent: given up");
             w.state = HostState::Lost;
         }
@@ -341,7 +347,7 @@
             }
             let session = if m.session > 0 { m.session } else { h.session };
             let list = if m.fenced() {
-                let quiet = now.saturating_sub(m.heard) > self.settings.report * 2;
+                let quiet = now.saturating_sub(m.heard) > self.settings.report * 5 / 4 + SECOND / 2;
                 let mut l = orders(&view, id, m, false);
                 if quiet {
                     // It may be gone. A start would only become one more that may run late; a
@@ -415,7 +421,8 @@
                 if let Err(e) = &other {
                     tracing::debug!(machine = %id, "orders: {e}");
                 }
-                m.not_before = now + 2 * SECOND;
+                m.not_before = now + SECOND;
+                m.probe_failed = now;
                 drop(machines);
                 self.http.forget(addr);
             }
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -68,6 +68,8 @@
     pub busy: bool,
     /// Not before this time: direct orders failed.
     pub not_before: Micros,
+    /// When direct orders went without an answer last.
+    pub probe_failed: Micros,
     /// Failures of tasks: when, job.
     pub errors: Vec<(Micros, JobId)>,
     /// What the machine is.
@@ -117,6 +119,7 @@
             unanswered: HashSet::new(),
             busy: false,
             not_before: 0,
+            probe_failed: 0,
             errors: Vec::new(),
             about: None,
             counted: HashSet::new(),
