--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -44,7 +44,7 @@
 /// So many tasks of a job at most in one plan: the next one follows at once.
 const PER_JOB: usize = 512;
 /// A gang that waited this long keeps free machines from younger ones.
-const GANG_PATIENCE: Micros = 20 * SECOND;
+const GANG_PATIENCE: Micros = 40 * SECOND;
 
 struct Spot<'a> {
     id: Rc<str>,
@@ -209,7 +209,7 @@
     queue.sort_by(|a, b| {
         (!a.entitled, a.job.spec.rank)
             .cmp(&(!b.entitled, b.job.spec.rank))
-            .then(b.raised.cmp(&a.raised))
+            .then((b.raised > 0).cmp(&(a.raised > 0)))
             .then(a.turn.cmp(&b.turn))
             .then(a.job.spec.submitted.cmp(&b.job.spec.submitted))
             .then(a.id.cmp(b.id))
