--- a/src/hosts/lead.rs
+++ b/src/hosts/lead.rs
@@ -111,7 +111,9 @@
                 idle_since: &mem.idle_since,
             })
         };
-        self.mark_returning(&decision.give_back).await;
+        self.mark(&decision.give_back, HostState::Returning).await;
+        self.mark(&decision.close, HostState::Closing).await;
+        self.mark(&decision.reopen, HostState::Up).await;
         for c in decision.rent {
             mem.charter_no += 1;
             let name = format!(
@@ -270,7 +272,7 @@
         }
     }
 
-    async fn mark_returning(&self, ids: &[Rc<str>]) {
+    async fn mark(&self, ids: &[Rc<str>], state: HostState) {
         for chunk in ids.chunks(self.settings.txn_ops) {
             let mut t = Txn::default();
             {
@@ -287,10 +289,7 @@
                     });
                     t.then.push(Change::Put {
                         put: key,
-                        v: to_value(&Host {
-                            state: HostState::Returning,
-                            ..h.clone()
-                        }),
+                        v: to_value(&Host { state, ..h.clone() }),
                         permit: None,
                     });
                 }
@@ -300,15 +299,16 @@
             }
             // An empty machine must still be empty: a placement does not change its key, so check
             // once more that nothing was written since the decision.
-            if !self.barrier().await {
+            let returning = state == HostState::Returning;
+            if returning && !self.barrier().await {
                 return;
             }
-            let still = {
+            let still = !returning || {
                 let view = self.view.borrow();
                 chunk.iter().all(|id| view.tasks_on(id).is_none())
             };
             if still && let Outcome::Done(rev) = self.store.txn(&t).await {
-                tracing::info!(machines = t.then.len(), "to be returned");
+                tracing::info!(machines = t.then.len(), ?state, "marked");
                 self.wrote(&t, rev);
             }
         }
--- a/src/hosts/mod.rs
+++ b/src/hosts/mod.rs
@@ -41,11 +41,17 @@
     pub rent: Vec<Charter>,
     /// Machines to return.
     pub give_back: Vec<Rc<str>>,
+    /// Machines that should take nothing new.
+    pub close: Vec<Rc<str>>,
+    /// Closing machines that should go on.
+    pub reopen: Vec<Rc<str>>,
 }
 
 /// A machine that does not come up is given up after so many times its usual boot time, and a while.
 const BOOT_TIMES: u64 = 3;
 const BOOT_GRACE: Micros = 15 * SECOND;
+/// Machines are closed only well above what the work needs.
+const CLOSE_MARGIN: f64 = 1.25;
 /// The shortest time that a machine is charged for.
 const LEAST: Micros = 60 * SECOND;
 
@@ -89,6 +95,63 @@
         }
     }
 
+    /// Machines that the pool's work needs, if it is to drain in time; and those there are, without
+    /// the room that services take.
+    fn level(&self, o: &Outlook<'_>) -> (f64, f64) {
+        let have = o
+            .view
+            .hosts
+            .iter()
+            .filter(|(_, h)| matches!(h.state, HostState::Up | HostState::Booting))
+            .filter_map(|(id, h)| {
+                let t = self.types.iter().find(|t| t.sku == h.kind)?;
+                Some(1.0 - (services_on(o, id) as f64 / Room::of(t).cpus.max(1) as f64).min(1.0))
+            })
+            .sum();
+        let mut load = self.load.clone();
+        load.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+        let (mut work, mut need) = (0.0, 0.0f64);
+        for (_, h, w) in load {
+            work += w;
+            need = need.max(work / h);
+        }
+        (need, have)
+    }
+
+    /// Machines beyond what the work needs, when everything has its place: work is drawn together
+    /// on the others, so that these become empty.
+    fn surplus(&self, o: &Outlook<'_>, keep: &mut i64) -> Vec<Rc<str>> {
+        let (need, have) = self.level(o);
+        let n = (have - need * CLOSE_MARGIN - 1.0).max(0.0) as usize;
+        let mut list: Vec<(bool, usize, &Rc<str>, i64)> = o
+            .view
+            .hosts
+            .iter()
+            .filter(|(id, h)| {
+                h.state == HostState::Up
+                    && services_on(o, id) == 0
+                    && o.wall.saturating_sub(h.rented) >= LEAST / 2
+                    && o.view.tasks_on(id).is_some()
+            })
+            .filter_map(|(id, h)| {
+                let t = self.types.iter().find(|t| t.sku == h.kind)?;
+                let tasks = o.view.tasks_on(id).map_or(0, |t| t.len());
+                let room = if ordinary(o, h) { Room::of(t).cpus } else { 0 };
+                Some((h.spot, tasks, id, room))
+            })
+            .collect();
+        // The dear ones first, and those with the least on them.
+        list.sort();
+        let mut out = Vec::new();
+        for (_, _, id, room) in list.into_iter().take(n) {
+            if *keep >= room {
+                *keep -= room;
+                out.push(id.clone());
+            }
+        }
+        out
+    }
+
     /// Machines that should come, seen as a flow: what the machines at hand get through in time
     /// is not rented for; what they do not is shared out over the time left once others are up.
     fn lack(&self, o: &Outlook<'_>) -> f64 {
@@ -102,15 +165,7 @@
                 continue;
             }
             let whole = Room::of(t);
-            let services: i64 = o
-                .view
-                .tasks_on(id)
-                .into_iter()
-                .flatten()
-                .filter_map(|((job, _), _)| o.view.jobs.get(job))
-                .filter(|j| j.spec.kind == Shape::Service)
-                .map(|j| j.spec.room.cpus)
-                .sum();
+            let services = services_on(o, id);
             count += 1.0;
             have += 1.0 - (services as f64 / whole.cpus.max(1) as f64).min(1.0);
         }
@@ -127,6 +182,18 @@
     }
 }
 
+/// CPUs that services take on a machine.
+fn services_on(o: &Outlook<'_>, id: &str) -> i64 {
+    o.view
+        .tasks_on(id)
+        .into_iter()
+        .flatten()
+        .filter_map(|((job, _), _)| o.view.jobs.get(job))
+        .filter(|j| j.spec.kind == Shape::Service)
+        .map(|j| j.spec.room.cpus)
+        .sum()
+}
+
 /// Types that a job may be given machines of.
 fn candidates<'a>(v: &'a View, s: &Spec) -> Vec<&'a MachineType> {
     let mut types: Vec<&MachineType> = v
@@ -158,8 +225,10 @@
         {
             out.give_back.push(id.clone());
         }
-        // What fails its tasks is returned once it is empty.
-        if h.state == HostState::Sick && v.tasks_on(id).is_none() {
+        // What fails its tasks, or is not needed, is returned once it is empty.
+        let paid = o.wall.saturating_sub(h.rented) >= LEAST;
+        let leaving = h.state == HostState::Sick || (h.state == HostState::Closing && paid);
+        if leaving && v.tasks_on(id).is_none() {
             out.give_back.push(id.clone());
         }
     }
@@ -220,12 +289,26 @@
             pool.tasks += lacking;
         }
     }
+    let mut keep = spare_have(o) - spare_need(o);
     for p in pools.into_values() {
         if p.tasks == 0 {
+            out.close.extend(p.surplus(o, &mut keep));
             continue;
         }
+        let mut wanted = p.lack(o);
+        // What is closing is nearer than anything rented.
+        for (id, h) in &v.hosts {
+            if wanted > 0.2
+                && h.state == HostState::Closing
+                && p.types.iter().any(|t| t.sku == h.kind)
+                && !out.give_back.contains(id)
+            {
+                out.reopen.push(id.clone());
+                wanted = (wanted - 1.0).max(0.0);
+            }
+        }
         missing.push(Missing {
-            wanted: p.lack(o),
+            wanted,
             types: p.types,
             zone: p.zone,
             spot: p.spot && o.policy.use_spot,
@@ -297,7 +380,6 @@
         }
     }
     // Return what stands empty and is not about to be used.
-    let mut keep = spare_have(o) - spare_need(o);
     for (id, h) in &v.hosts {
         let Some(whole) = v.types.get(&h.kind).map(Room::of) else {
             continue;
--- a/src/hosts/model.rs
+++ b/src/hosts/model.rs
@@ -15,6 +15,9 @@
     /// About to be taken by the cloud: what can save is stopped, nothing new starts.
     #[serde(rename = "d")]
     Draining,
+    /// More than the work needs: nothing new starts, and it is returned once empty.
+    #[serde(rename = "c")]
+    Closing,
     /// Fails or slows its tasks: nothing new starts.
     #[serde(rename = "k")]
     Sick,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -40,7 +40,7 @@
             fairness_threshold: 0.2,
             fairness_round: 5 * SECOND,
             member_ttl: 3 * SECOND,
-            lost_after: 11 * SECOND / 2,
+            lost_after: 5 * SECOND,
             service_spare: 0.08,
             use_spot: true,
             idle_return: 12 * SECOND,
--- a/src/workers/drive.rs
+++ b/src/workers/drive.rs
@@ -18,7 +18,7 @@
 /// Orders in one answer: it may hold 64 KiB.
 const PER_ANSWER: usize = 400;
 /// Direct orders that nobody answered in this time count as unanswered.
-const DIRECT: Micros = 5 * SECOND / 4;
+const DIRECT: Micros = SECOND;
 /// So long after direct orders failed, starts go only into the answers to reports; and an
 /// unanswered one that stands in the way is made impossible by a higher term.
 const UNSURE: Micros = 10 * SECOND;
@@ -363,7 +363,7 @@
             }
             let session = if m.session > 0 { m.session } else { h.session };
             let list = if m.fenced() {
-                let quiet = now.saturating_sub(m.heard) > self.settings.report * 5 / 4 + SECOND / 2;
+                let quiet = now.saturating_sub(m.heard) > self.settings.report * 5 / 4 + SECOND / 4;
                 let mut l = orders(&view, id, m, false);
                 if quiet || (m.probe_failed > 0 && now.saturating_sub(m.probe_failed) < UNSURE) {
                     // It may be gone. A start would only become one more that may run late; a
