--- a/src/hosts/mod.rs
+++ b/src/hosts/mod.rs
@@ -50,8 +50,10 @@
 /// A machine that does not come up is given up after so many times its usual boot time, and a while.
 const BOOT_TIMES: u64 = 3;
 const BOOT_GRACE: Micros = 15 * SECOND;
-/// Machines are closed only well above what the work needs.
-const CLOSE_MARGIN: f64 = 1.25;
+/// Spot machines replace ordinary ones only well below their price.
+const SWAP_BELOW: f64 = 0.7;
+/// So many machines' worth of room stays open when machines are closed.
+const CLOSE_MARGIN: f64 = 1.5;
 /// The shortest time that a machine is charged for.
 const LEAST: Micros = 60 * SECOND;
 
@@ -76,6 +78,8 @@
     /// Machines of the largest gang.
     gang: f64,
     spot: bool,
+    /// All of the pool's work may use spot machines.
+    all_spot: bool,
     zone: Option<&'a String>,
     room: Room,
     tasks: u32,
@@ -89,40 +93,71 @@
             whole: 0.0,
             gang: 0.0,
             spot: true,
+            all_spot: true,
             zone: None,
             room: Room::default(),
             tasks: 0,
         }
     }
 
-    /// Machines that the pool's work needs, if it is to drain in time; and those there are, without
-    /// the room that services take.
-    fn level(&self, o: &Outlook<'_>) -> (f64, f64) {
-        let have = o
+    /// Spot machines in place of ordinary ones that run only work which may use them: they were
+    /// refused, or taken, when the ordinary ones were rented. These close once the others are up.
+    fn swap(&self, o: &Outlook<'a>) -> Option<Missing<'a>> {
+        if !self.all_spot || !o.policy.use_spot {
+            return None;
+        }
+        let dear = o
             .view
             .hosts
             .iter()
-            .filter(|(_, h)| matches!(h.state, HostState::Up | HostState::Booting))
-            .filter_map(|(id, h)| {
-                let t = self.types.iter().find(|t| t.sku == h.kind)?;
-                Some(1.0 - (services_on(o, id) as f64 / Room::of(t).cpus.max(1) as f64).min(1.0))
+            .filter(|(id, h)| {
+                h.state == HostState::Up
+                    && !h.spot
+                    && self.types.iter().any(|t| t.sku == h.kind)
+                    && services_on(o, id) == 0
+                    && o.view.tasks_on(id).is_some()
             })
-            .sum();
-        let mut load = self.load.clone();
-        load.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
-        let (mut work, mut need) = (0.0, 0.0f64);
-        for (_, h, w) in load {
-            work += w;
-            need = need.max(work / h);
+            .count();
+        let coming = o
+            .view
+            .hosts
+            .values()
+            .any(|h| h.state == HostState::Booting && h.spot);
+        let types: Vec<&MachineType> = self
+            .types
+            .iter()
+            .filter(|t| t.market_price.is_some_and(|p| p < t.rate * SWAP_BELOW))
+            .filter(|t| t.yards.iter().any(|z| !(o.refused)(&t.sku, z, true)))
+            .copied()
+            .collect();
+        if dear == 0 || coming || types.is_empty() {
+            return None;
         }
-        (need, have)
+        Some(Missing {
+            types,
+            zone: None,
+            spot: true,
+            room: self.room,
+            tasks: dear as u32,
+            wanted: 1.0,
+        })
     }
 
     /// Machines beyond what the work needs, when everything has its place: work is drawn together
     /// on the others, so that these become empty.
     fn surplus(&self, o: &Outlook<'_>, keep: &mut i64) -> Vec<Rc<str>> {
-        let (need, have) = self.level(o);
-        let n = (have - need * CLOSE_MARGIN - 1.0).max(0.0) as usize;
+        let free: f64 = o
+            .view
+            .hosts
+            .iter()
+            .filter(|(_, h)| h.state == HostState::Up)
+            .filter_map(|(id, h)| {
+                let t = self.types.iter().find(|t| t.sku == h.kind)?;
+                let free = o.forecast.free.get(id)?.cpus.max(0);
+                Some(free as f64 / Room::of(t).cpus.max(1) as f64)
+            })
+            .sum();
+        let n = (free - CLOSE_MARGIN).max(0.0) as usize;
         let mut list: Vec<(bool, usize, &Rc<str>, i64)> = o
             .view
             .hosts
@@ -282,10 +317,11 @@
         if s.kind == Shape::Gang {
             pool.gang = pool.gang.max(f64::from(s.tasks) / per);
         }
+        pool.all_spot &= s.spot && s.zone.is_none();
+        pool.room = s.room;
         if lacking > 0 {
             pool.spot &= s.spot;
             pool.zone = s.zone.as_ref();
-            pool.room = s.room;
             pool.tasks += lacking;
         }
     }
@@ -293,6 +329,9 @@
     for p in pools.into_values() {
         if p.tasks == 0 {
             out.close.extend(p.surplus(o, &mut keep));
+            if let Some(m) = p.swap(o) {
+                missing.push(m);
+            }
             continue;
         }
         let mut wanted = p.lack(o);
--- a/src/store/view.rs
+++ b/src/store/view.rs
@@ -96,6 +96,11 @@
         self.stamps.get(key).copied().unwrap_or(0)
     }
 
+    /// Whether a key is known to have been deleted.
+    pub fn deleted(&self, key: &str) -> bool {
+        self.tombs.contains_key(key)
+    }
+
     /// A write at a revision. Older ones than what is known are ignored.
     pub fn put(&mut self, key: &str, v: &Value, stamp: u64) {
         let known = self
--- a/src/workers/drive.rs
+++ b/src/workers/drive.rs
@@ -210,8 +210,10 @@
         let Some(h) = have else {
             // Unexpected machines are used: they are paid for.
             let (kind, zone, spot, addr) = m.about.clone()?;
-            // Its key may also be gone because it was returned: then it is heard no more.
-            if !m.fenced() || now.saturating_sub(m.heard) > self.settings.report {
+            // A key that was deleted belonged to a machine that was returned and is gone, however
+            // lately it was heard: written again, it would get tasks that never start.
+            let returned = self.view.borrow().deleted(&keys::host(id));
+            if returned || !m.fenced() || now.saturating_sub(m.heard) > self.settings.report {
                 return None;
             }
             return Some(Host {
