--- a/src/workers/drive.rs
+++ b/src/workers/drive.rs
@@ -10,6 +10,7 @@
 use crate::time::{Micros, SECOND, wall};
 use crate::wire::server::Reply;
 use crate::wire::state::{Change, Guard, Txn};
+use crate::wire::user::Shape;
 use crate::wire::worker::{ORDERS, Order, Orders, Redirect, Report};
 use crate::wire::{decode, encode, to_value};
 use http_types::Method;
@@ -23,6 +24,12 @@
 /// unanswered one that stands in the way is made impossible by a higher term.
 const UNSURE: Micros = 10 * SECOND;
 const STUCK: Micros = 3 * SECOND;
+/// Machines with replicas are called when nothing was heard of them for so long, with little time
+/// to answer: a hung one is found in half the time that reports would take.
+const CALL: Micros = 6 * SECOND / 5;
+const CALL_LIMIT: Micros = 3 * SECOND / 5;
+/// So many calls in a row without an answer, with the rest of the site heard, mean a dead machine.
+const MISSED: u32 = 2;
 /// The same direct order is not repeated sooner.
 const REPEAT: Micros = SECOND;
 /// A job whose tasks fail is tried again after this, doubled with each failure.
@@ -206,6 +213,7 @@
         have: Option<&Host>,
         now: Micros,
         alone: bool,
+        heard_last: Micros,
     ) -> Option<Host> {
         let Some(h) = have else {
             // Unexpected machines are used: they are paid for.
@@ -255,10 +263,14 @@
         let silent = now.saturating_sub(m.heard);
         // Silent for longer than between any two reports, and no answer to a call of ours since.
         let unanswered = m.probe_failed > m.heard;
+        // Or calls in a row without an answer, while another machine was heard after the first of
+        // them: then it is not us who are cut off.
+        let dead = m.missed >= MISSED && silent > 2 * SECOND && heard_last > m.first_missed;
         if w.state != HostState::Booting
-            && silent > self.policy.lost_after
-            && (unanswered || silent > 2 * self.policy.lost_after)
-            && !alone
+            && (dead
+                || (silent > self.policy.lost_after
+                    && (unanswered || silent > 2 * self.policy.lost_after)
+                    && !alone))
         {
             tracing::info!(machine = %id, silent, "silent: given up");
             w.state = HostState::Lost;
@@ -298,12 +310,14 @@
             let view = self.view.borrow();
             let alone = self.alone(&view, now);
             let machines = self.machines.borrow();
+            let heard_last = machines.values().map(|m| m.heard).max().unwrap_or(0);
             let busy = self.busy_hosts.borrow();
             for (id, m) in machines.iter() {
                 if busy.contains(id) || t.then.len() >= self.settings.txn_ops {
                     continue;
                 }
-                if let Some(w) = self.wanted_host(id, m, view.hosts.get(id), now, alone) {
+                if let Some(w) = self.wanted_host(id, m, view.hosts.get(id), now, alone, heard_last)
+                {
                     let key = keys::host(id);
                     let part = keys::part(part_of(id));
                     t.guards.push(Guard {
@@ -365,7 +379,16 @@
             }
             let session = if m.session > 0 { m.session } else { h.session };
             let list = if m.fenced() {
-                let quiet = now.saturating_sub(m.heard) > self.settings.report * 5 / 4 + SECOND / 4;
+                let replicas = view.tasks_on(id).is_some_and(|t| {
+                    t.keys().any(|(j, _)| {
+                        view.jobs
+                            .get(j)
+                            .is_some_and(|j| j.spec.kind == Shape::Service)
+                    })
+                });
+                let silent = now.saturating_sub(m.heard);
+                let quiet = silent > self.settings.report * 5 / 4 + SECOND / 4;
+                let call = quiet || (replicas && silent > CALL);
                 let mut l = orders(&view, id, m, false);
                 if quiet || (m.probe_failed > 0 && now.saturating_sub(m.probe_failed) < UNSURE) {
                     // It may be gone. A start would only become one more that may run late; a
@@ -374,7 +397,7 @@
                 }
                 l.retain(|o| !m.recent(o, now, REPEAT));
                 l.truncate(PER_ANSWER);
-                if l.is_empty() && !quiet {
+                if l.is_empty() && !call {
                     continue;
                 }
                 l
@@ -410,7 +433,13 @@
         });
         let res = self
             .http
-            .call(addr, Method::Post, ORDERS, Some(body), DIRECT)
+            .call(
+                addr,
+                Method::Post,
+                ORDERS,
+                Some(body),
+                if list.is_empty() { CALL_LIMIT } else { DIRECT },
+            )
             .await;
         let now = self.clock.now();
         let mut machines = self.machines.borrow_mut();
@@ -439,8 +468,12 @@
                 if let Err(e) = &other {
                     tracing::debug!(machine = %id, "orders: {e}");
                 }
-                m.not_before = now + SECOND;
+                m.not_before = now + SECOND / 4;
                 m.probe_failed = now;
+                if m.missed == 0 {
+                    m.first_missed = now;
+                }
+                m.missed += 1;
                 drop(machines);
                 self.http.forget(addr);
             }
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -70,6 +70,10 @@
     pub not_before: Micros,
     /// When direct orders went without an answer last.
     pub probe_failed: Micros,
+    /// Calls of ours without an answer since it was heard last, and when the first of them failed.
+    pub missed: u32,
+    /// See `missed`.
+    pub first_missed: Micros,
     /// Failures of tasks: when, job.
     pub errors: Vec<(Micros, JobId)>,
     /// What the machine is.
@@ -120,6 +124,8 @@
             busy: false,
             not_before: 0,
             probe_failed: 0,
+            missed: 0,
+            first_missed: 0,
             errors: Vec::new(),
             about: None,
             counted: HashSet::new(),
@@ -171,6 +177,7 @@
             self.fenced = Some(now);
         }
         self.heard = now;
+        self.missed = 0;
         if let Ok(a) = r.address.parse() {
             self.addr = Some(a);
         }
