--- /dev/null
+++ b/tests/placement.rs
@@ -0,0 +1,283 @@
+//! Placement on generated sites: whatever the plan says keeps the Rules.
+
+use coppergw::hosts::model::{Host, HostState};
+use coppergw::jobs::commit::{Intent, Limits, stage};
+use coppergw::jobs::model::{Room, Spec};
+use coppergw::members::{PARTS, Part};
+use coppergw::placement::{Scene, allowed, plan};
+use coppergw::settings::Team;
+use coppergw::store::keys;
+use coppergw::store::view::View;
+use coppergw::time::SECOND;
+use coppergw::wire::cloud::MachineType;
+use coppergw::wire::state::Change;
+use coppergw::wire::to_value;
+use coppergw::wire::user::{Rank, Shape};
+use proptest::prelude::*;
+use std::collections::{HashMap, HashSet};
+
+const CAP: i64 = 6000;
+
+fn types() -> Vec<MachineType> {
+    [("big", 8.0, 2.0), ("small", 4.0, 0.0)]
+        .map(|(sku, cores, gpus)| MachineType {
+            sku: sku.into(),
+            cores,
+            accelerators: gpus,
+            ram_gb: 32.0,
+            local_gb: 10.0,
+            fetch_gb_per_s: 1.0,
+            rate: 1.0,
+            market_price: Some(0.4),
+            ready_s: 10.0,
+            yards: vec!["a".into(), "b".into(), "c".into()],
+        })
+        .to_vec()
+}
+
+fn teams() -> Vec<Team> {
+    let team = |name: &str, cpus, cpus_max| Team {
+        name: name.into(),
+        cpus,
+        cpus_max,
+        gpus: 0,
+        gpus_max: 0,
+    };
+    vec![
+        team("free", 0, 0),
+        team("capped", 0, CAP),
+        team("owed", 4000, 0),
+    ]
+}
+
+fn host() -> impl Strategy<Value = Host> {
+    (0usize..2, 0usize..3, any::<bool>(), 0u8..8).prop_map(|(kind, zone, spot, st)| Host {
+        kind: ["big", "small"][kind].into(),
+        zone: ["a", "b", "c"][zone].into(),
+        spot,
+        addr: None,
+        session: 1,
+        state: match st {
+            0 => HostState::Draining,
+            1 => HostState::Booting,
+            2 => HostState::Closing,
+            _ => HostState::Up,
+        },
+        rented: 0,
+    })
+}
+
+fn spec() -> impl Strategy<Value = Spec> {
+    (
+        (0usize..3, 0usize..4, 1u32..7, 1i64..5, 0i64..3),
+        (any::<bool>(), any::<bool>(), any::<bool>()),
+        (0usize..3, 0u8..4, 0u8..4, 0u64..100),
+    )
+        .prop_map(
+            |((kind, rank, tasks, cpus, gpus), (one, spread, spot), (team, ty, zone, at))| Spec {
+                class: "c".into(),
+                team: ["free", "capped", "owed"][team].into(),
+                kind: [Shape::Array, Shape::Gang, Shape::Service][kind],
+                rank: [Rank::Production, Rank::High, Rank::Normal, Rank::Low][rank],
+                tasks,
+                room: Room {
+                    cpus: cpus * 1000,
+                    gpus: if gpus == 2 { 1000 } else { 0 },
+                    memory: 3000,
+                },
+                image: format!("i{at}"),
+                image_size: 1,
+                types: match ty {
+                    0 => Some(vec!["small".into()]),
+                    1 => Some(vec!["big".into()]),
+                    _ => None,
+                },
+                zone: (zone == 0).then(|| "b".into()),
+                one_zone: one && !spread,
+                spread,
+                spot,
+                estimate: 10 * SECOND,
+                checkpoint: 0,
+                save: 0,
+                deadline: None,
+                submitted: at * SECOND,
+                cancelled: false,
+            },
+        )
+}
+
+fn scene_plan(v: &View) -> Vec<Intent> {
+    let teams = teams();
+    plan(&Scene {
+        view: v,
+        wall: 500 * SECOND,
+        teams: &teams,
+        objectives: &[],
+        responsive: &|_| true,
+        held_back: &|_| false,
+        forecast: false,
+    })
+    .intents
+}
+
+fn check(v: &View) -> Result<(), TestCaseError> {
+    let types = &v.types;
+    let mut used = 0;
+    for (id, j) in &v.jobs {
+        let s = &j.spec;
+        let mut zones: HashMap<&str, u32> = HashMap::new();
+        let mut attempts = HashSet::new();
+        for (_, p) in j.placements() {
+            let h = &v.hosts[&p.host];
+            prop_assert!(allowed(s, h), "wrong_place: {id} on {}", p.host);
+            prop_assert!(h.state == HostState::Up, "placed on {:?}", h.state);
+            *zones.entry(&h.zone).or_default() += 1;
+            attempts.insert(p.attempt);
+            if s.team == "capped" {
+                used += s.room.cpus;
+            }
+        }
+        prop_assert!(!s.one_zone || zones.len() <= 1, "{id} in two zones");
+        let most = zones.values().copied().max().unwrap_or(0);
+        prop_assert!(!s.spread || most <= s.tasks.div_ceil(2), "{id} not spread");
+        if s.kind == Shape::Gang {
+            prop_assert!(j.placed == 0 || j.placed == s.tasks, "half a gang");
+            prop_assert!(attempts.len() <= 1, "a gang with two attempts");
+        }
+    }
+    prop_assert!(used <= CAP, "quota");
+    for (id, h) in &v.hosts {
+        let mut free = Room::of(&types[&h.kind]);
+        for (job, _) in v.tasks_on(id).into_iter().flat_map(|t| t.keys()) {
+            free.take(&v.jobs[job].spec.room);
+        }
+        prop_assert!(
+            free.fits(&Room::default()),
+            "no room left on {id}: {free:?}"
+        );
+    }
+    Ok(())
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 300,
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(11),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn plans_keep_the_rules(
+        hosts in proptest::collection::vec(host(), 1..12),
+        specs in proptest::collection::vec(spec(), 1..14),
+    ) {
+        let mut v = View::default();
+        let mut rev = 1;
+        let mut put = |v: &mut View, k: &str, x: &ciborium::Value| {
+            rev += 1;
+            v.put(k, x, rev);
+        };
+        put(&mut v, keys::TYPES, &to_value(&types()));
+        for n in 0..PARTS {
+            let p = Part { owner: "n".into(), lease: 1, term: 1 };
+            put(&mut v, &keys::part(n), &to_value(&p));
+        }
+        for (i, h) in hosts.iter().enumerate() {
+            put(&mut v, &keys::host(&format!("m-{i:06}")), &to_value(h));
+        }
+        for (i, s) in specs.iter().enumerate() {
+            put(&mut v, &keys::job(&format!("req-{i}")), &to_value(s));
+        }
+        let limits = Limits { ops: 16, bytes: 48_000 };
+        for _ in 0..4 {
+            let intents = scene_plan(&v);
+            let staged = stage(&v, &intents, &HashSet::new(), &|t| t == "capped", limits);
+            for s in staged {
+                prop_assert!(s.txn.then.len() <= 16 && s.txn.guards.len() <= 64);
+                // As the state service: all conditions or nothing.
+                if s.txn.guards.iter().any(|g| v.stamp(&g.path) != g.stamp) {
+                    continue;
+                }
+                rev += 1;
+                for c in &s.txn.then {
+                    match c {
+                        Change::Put { put, v: x, .. } => v.put(put, x, rev),
+                        Change::Delete { remove } => v.delete(remove, rev),
+                    }
+                }
+            }
+            check(&v)?;
+        }
+    }
+}
+
+/// A service waits, lower work holds the machine: it makes way, equal work does not.
+#[test]
+fn lower_work_makes_way_for_services() {
+    let build = |rank| {
+        let mut v = View::default();
+        v.put(keys::TYPES, &to_value(&types()), 1);
+        let h = Host {
+            kind: "small".into(),
+            zone: "a".into(),
+            spot: false,
+            addr: None,
+            session: 1,
+            state: HostState::Up,
+            rented: 0,
+        };
+        v.put(&keys::host("m-1"), &to_value(&h), 2);
+        let base = Spec {
+            class: "c".into(),
+            team: "free".into(),
+            kind: Shape::Array,
+            rank,
+            tasks: 1,
+            room: Room {
+                cpus: 4000,
+                gpus: 0,
+                memory: 1000,
+            },
+            image: "i".into(),
+            image_size: 1,
+            types: None,
+            zone: None,
+            one_zone: false,
+            spread: false,
+            spot: true,
+            estimate: 10 * SECOND,
+            checkpoint: 0,
+            save: 0,
+            deadline: None,
+            submitted: 1,
+            cancelled: false,
+        };
+        v.put(&keys::job("req-1"), &to_value(&base), 3);
+        let limits = Limits {
+            ops: 16,
+            bytes: 48_000,
+        };
+        let intents = scene_plan(&v);
+        let staged = stage(&v, &intents, &HashSet::new(), &|_| false, limits);
+        for c in &staged[0].txn.then {
+            if let Change::Put { put, v: x, .. } = c {
+                v.put(put, x, 4);
+            }
+        }
+        let service = Spec {
+            kind: Shape::Service,
+            rank: Rank::Production,
+            submitted: 2,
+            ..base
+        };
+        v.put(&keys::job("req-2"), &to_value(&service), 5);
+        scene_plan(&v)
+    };
+    let stops = build(Rank::Low);
+    assert!(
+        matches!(stops.as_slice(), [Intent::Stop { job, .. }] if &**job == "req-1"),
+        "{stops:?}"
+    );
+    assert_eq!(build(Rank::Production), vec![]);
+}
