--- a/src/hosts/mod.rs
+++ b/src/hosts/mod.rs
@@ -75,8 +75,6 @@
     load: Vec<(Rank, f64, f64)>,
     /// Machines that the tasks without a place would fill.
     whole: f64,
-    /// Those of them that have waited long.
-    urgent: f64,
     /// Machines of the largest gang.
     gang: f64,
     spot: bool,
@@ -93,7 +91,6 @@
             types,
             load: Vec::new(),
             whole: 0.0,
-            urgent: 0.0,
             gang: 0.0,
             spot: true,
             all_spot: true,
@@ -216,9 +213,7 @@
             work += w;
             lack = lack.max((work - have * h) / (h - boot).max(h / 2.0));
         }
-        lack.max(self.gang - count)
-            .max(self.urgent)
-            .clamp(0.0, self.whole)
+        lack.max(self.gang - count).clamp(0.0, self.whole)
     }
 }
 
@@ -319,12 +314,6 @@
             tasks * run / per,
         ));
         pool.whole += whole;
-        // The flow takes room for fluid; a task that needs most of a machine may find none while
-        // smaller ones come first. Half-way through its time it is rented for by itself.
-        let age = o.wall.saturating_sub(s.submitted);
-        if s.kind == Shape::Array && age > horizon(o, &s.class, default) / 2 {
-            pool.urgent += whole;
-        }
         if s.kind == Shape::Gang {
             pool.gang = pool.gang.max(f64::from(s.tasks) / per);
         }
