--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -470,6 +470,11 @@
     if spec.spot && !sp.host.spot {
         cost += 1;
     }
+    // Small tasks are drawn together, so that whole machines stay for those that need one, and
+    // empty ones can be returned.
+    if spec.kind == Shape::Array && sp.free == sp.whole && sp.whole.times(&spec.room) > 1 {
+        cost += 3;
+    }
     (cost, sp.free.cpus)
 }
 
