Give a machine up only for a call sent after another machine was heard

Guards against the end of a cut: one machine's held messages arrive before another's, and calls missed during the cut would have counted against all others.

--- a/src/hosts/lead.rs
+++ b/src/hosts/lead.rs
@@ -1,6 +1,6 @@
 //! The leader's loop: machine types, list, rentals, returns.
 
-use super::model::{Charter, Host, HostState};
+use super::model::{Charter, Host, HostState, put_host};
 use super::{Outlook, decide};
 use crate::node::Node;
 use crate::placement::{self, Scene};
@@ -185,16 +185,7 @@
         let mut t = Txn::default();
         let mut put = |view: &crate::store::view::View, id: &str, h: &Host| {
             if t.then.len() < self.settings.txn_ops {
-                let key = keys::host(id);
-                t.guards.push(Guard {
-                    stamp: view.stamp(&key),
-                    path: key.clone(),
-                });
-                t.then.push(Change::Put {
-                    put: key,
-                    v: to_value(h),
-                    permit: None,
-                });
+                put_host(&mut t, view, id, h);
             }
         };
         {
@@ -281,17 +272,8 @@
                     let Some(h) = view.hosts.get(id) else {
                         continue;
                     };
-                    let key = keys::host(id);
                     // Guarded: a placement made meanwhile guards the same key.
-                    t.guards.push(Guard {
-                        stamp: view.stamp(&key),
-                        path: key.clone(),
-                    });
-                    t.then.push(Change::Put {
-                        put: key,
-                        v: to_value(&Host { state, ..h.clone() }),
-                        permit: None,
-                    });
+                    put_host(&mut t, &view, id, &Host { state, ..h.clone() });
                 }
             }
             if t.then.is_empty() {
--- a/src/hosts/model.rs
+++ b/src/hosts/model.rs
@@ -1,6 +1,10 @@
 //! Machines as the program keeps them.
 
+use crate::store::keys;
+use crate::store::view::View;
 use crate::time::Micros;
+use crate::wire::state::{Change, Guard, Txn};
+use crate::wire::to_value;
 use serde::{Deserialize, Serialize};
 
 /// What is wanted of a machine.
@@ -55,6 +59,20 @@
     pub rented: Micros,
 }
 
+/// Adds the write of a machine's key to a transaction, on condition that it is as the view has it.
+pub fn put_host(t: &mut Txn, view: &View, id: &str, h: &Host) {
+    let key = keys::host(id);
+    t.guards.push(Guard {
+        stamp: view.stamp(&key),
+        path: key.clone(),
+    });
+    t.then.push(Change::Put {
+        put: key,
+        v: to_value(h),
+        permit: None,
+    });
+}
+
 /// A rental about to be made: the request's name is written before the request.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Charter {
--- a/src/node.rs
+++ b/src/node.rs
@@ -114,6 +114,13 @@
 /// A view that was not read for so long counts as cut off from the state service.
 const STALE: Micros = 3 * SECOND;
 
+/// Listens, or says on which address it could not.
+async fn listen(field: &str, addr: std::net::SocketAddr) -> std::io::Result<TcpListener> {
+    TcpListener::bind(addr)
+        .await
+        .map_err(|e| std::io::Error::new(e.kind(), format!("{field} {addr}: {e}")))
+}
+
 impl Node {
     /// A node that has not started yet.
     pub fn new(settings: Settings, policy: Policy, ex: Rc<LocalExecutor<'static>>) -> Rc<Node> {
@@ -157,8 +164,8 @@
 
     /// Starts every loop and serves for ever.
     pub async fn run(self: Rc<Node>) -> std::io::Result<()> {
-        let front = TcpListener::bind(self.settings.front).await?;
-        let peers = TcpListener::bind(self.settings.peer_bind).await?;
+        let front = listen("front", self.settings.front).await?;
+        let peers = listen("peer_bind", self.settings.peer_bind).await?;
         tracing::info!(node = %self.settings.node, front = %self.settings.front, "started");
         macro_rules! spawn {
             ($f:ident) => {{
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -209,6 +209,7 @@
     queue.sort_by(|a, b| {
         (!a.entitled, a.job.spec.rank)
             .cmp(&(!b.entitled, b.job.spec.rank))
+            .then(a.turn.0.cmp(&b.turn.0))
             .then((b.raised > 0).cmp(&(a.raised > 0)))
             .then(a.turn.cmp(&b.turn))
             .then(a.job.spec.submitted.cmp(&b.job.spec.submitted))
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -252,7 +252,15 @@
             let line = e
                 .span()
                 .map(|s| text[..s.start.min(text.len())].matches('\n').count() + 1);
-            let place = line.map_or("settings".into(), |l| format!("line {l}"));
+            let field = line
+                .and_then(|l| text.lines().nth(l - 1))
+                .and_then(|l| l.split_once('='))
+                .map(|(k, _)| k.trim().to_string());
+            let place = match (field, line) {
+                (Some(f), Some(l)) => format!("{f} (line {l})"),
+                (None, Some(l)) => format!("line {l}"),
+                _ => "settings".into(),
+            };
             fail(&place, e.message().replace('\n', " "))
         })?;
         let addr = |field: &str, v: &str| -> Result<SocketAddr, SettingsError> {
--- a/src/workers/drive.rs
+++ b/src/workers/drive.rs
@@ -1,7 +1,7 @@
 //! Driving workers: reports in, orders out, and what is wanted of machines.
 
 use super::{Machine, News, orders, sick};
-use crate::hosts::model::{Host, HostState};
+use crate::hosts::model::{Host, HostState, put_host};
 use crate::members::part_of;
 use crate::node::Node;
 use crate::store::client::Outcome;
@@ -9,10 +9,10 @@
 use crate::store::view::View;
 use crate::time::{Micros, SECOND, wall};
 use crate::wire::server::Reply;
-use crate::wire::state::{Change, Guard, Txn};
+use crate::wire::state::{Guard, Txn};
 use crate::wire::user::Shape;
 use crate::wire::worker::{ORDERS, Order, Orders, Redirect, Report};
-use crate::wire::{decode, encode, to_value};
+use crate::wire::{decode, encode};
 use http_types::Method;
 use std::rc::Rc;
 
@@ -28,8 +28,7 @@
 /// to answer: a hung one is found in half the time that reports would take.
 const CALL: Micros = 6 * SECOND / 5;
 const CALL_LIMIT: Micros = 3 * SECOND / 5;
-/// So many calls in a row without an answer, with the rest of the site heard, mean a dead machine.
-const MISSED: u32 = 2;
+
 /// The same direct order is not repeated sooner.
 const REPEAT: Micros = SECOND;
 /// A job whose tasks fail is tried again after this, doubled with each failure.
@@ -213,7 +212,6 @@
         have: Option<&Host>,
         now: Micros,
         alone: bool,
-        heard_last: Micros,
     ) -> Option<Host> {
         let Some(h) = have else {
             // Unexpected machines are used: they are paid for.
@@ -263,11 +261,9 @@
         let silent = now.saturating_sub(m.heard);
         // Silent for longer than between any two reports, and no answer to a call of ours since.
         let unanswered = m.probe_failed > m.heard;
-        // Or calls in a row without an answer, while another machine was heard after the first of
-        // them: then it is not us who are cut off.
-        let dead = m.missed >= MISSED && silent > 2 * SECOND && heard_last > m.first_missed;
+
         if w.state != HostState::Booting
-            && (dead
+            && (m.dead
                 || (silent > self.policy.lost_after
                     && (unanswered || silent > 2 * self.policy.lost_after)
                     && !alone))
@@ -310,31 +306,21 @@
             let view = self.view.borrow();
             let alone = self.alone(&view, now);
             let machines = self.machines.borrow();
-            let heard_last = machines.values().map(|m| m.heard).max().unwrap_or(0);
+
             let busy = self.busy_hosts.borrow();
             for (id, m) in machines.iter() {
                 if busy.contains(id) || t.then.len() >= self.settings.txn_ops {
                     continue;
                 }
-                if let Some(w) = self.wanted_host(id, m, view.hosts.get(id), now, alone, heard_last)
-                {
-                    let key = keys::host(id);
+                if let Some(w) = self.wanted_host(id, m, view.hosts.get(id), now, alone) {
                     let part = keys::part(part_of(id));
-                    t.guards.push(Guard {
-                        path: key.clone(),
-                        stamp: view.stamp(&key),
-                    });
+                    put_host(&mut t, &view, id, &w);
                     if !t.guards.iter().any(|g| g.path == part) {
                         t.guards.push(Guard {
                             stamp: view.stamp(&part),
                             path: part,
                         });
                     }
-                    t.then.push(Change::Put {
-                        put: key,
-                        v: to_value(&w),
-                        permit: None,
-                    });
                     ids.push(id.clone());
                 }
             }
@@ -367,6 +353,7 @@
     pub fn drive(self: &Rc<Node>, now: Micros) {
         let view = self.view.borrow();
         let mut machines = self.machines.borrow_mut();
+        let heard = machines.values().map(|m| m.heard).max().unwrap_or(0);
         for (id, m) in machines.iter_mut() {
             let Some(h) = view.hosts.get(id) else {
                 continue;
@@ -412,7 +399,7 @@
             let term = m.term;
             self.ex
                 .spawn(async move {
-                    n.direct(id, addr, term, session, list).await;
+                    n.direct(id, addr, (term, session), heard, list).await;
                 })
                 .detach();
         }
@@ -422,8 +409,8 @@
         self: Rc<Node>,
         id: Rc<str>,
         addr: std::net::SocketAddr,
-        term: u64,
-        session: u64,
+        (term, session): (u64, u64),
+        heard: Micros,
         list: Vec<Order>,
     ) {
         let body = encode(&Orders {
@@ -469,11 +456,7 @@
                     tracing::debug!(machine = %id, "orders: {e}");
                 }
                 m.not_before = now + SECOND / 4;
-                m.probe_failed = now;
-                if m.missed == 0 {
-                    m.first_missed = now;
-                }
-                m.missed += 1;
+                m.miss(heard, now);
                 drop(machines);
                 self.http.forget(addr);
             }
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -74,6 +74,9 @@
     pub missed: u32,
     /// See `missed`.
     pub first_missed: Micros,
+    /// A call went without an answer that was sent when another machine had been heard after the
+    /// first miss: it is this machine that is gone, and not we who are cut off.
+    pub dead: bool,
     /// Failures of tasks: when, job.
     pub errors: Vec<(Micros, JobId)>,
     /// What the machine is.
@@ -126,6 +129,7 @@
             probe_failed: 0,
             missed: 0,
             first_missed: 0,
+            dead: false,
             errors: Vec::new(),
             about: None,
             counted: HashSet::new(),
@@ -140,6 +144,19 @@
             .any(|(at, x)| x == o && now.saturating_sub(*at) < span)
     }
 
+    /// A call of ours got no answer. `others`: when any other machine had been heard last before the
+    /// call was sent. What is heard later counts for nothing: at the end of a cut one machine's held
+    /// messages arrive before another's.
+    pub fn miss(&mut self, others: Micros, now: Micros) {
+        self.probe_failed = now;
+        if self.missed == 0 {
+            self.first_missed = now;
+        } else if others > self.first_missed {
+            self.dead = true;
+        }
+        self.missed += 1;
+    }
+
     /// Notes direct orders that go out.
     pub fn note(&mut self, list: &[Order], now: Micros) {
         self.lately
@@ -178,6 +195,7 @@
         }
         self.heard = now;
         self.missed = 0;
+        self.dead = false;
         if let Ok(a) = r.address.parse() {
             self.addr = Some(a);
         }
@@ -623,6 +641,24 @@
         assert_eq!(concluded(&v, &m, 5), 0, "what should run is started again");
     }
 
+    /// One machine is dead if it misses a call sent after another was heard; a controller that is cut
+    /// off misses all of them and must not give up any.
+    #[test]
+    fn a_cut_is_not_a_dead_machine() {
+        let mut m = Machine::new(5, 0);
+        m.take(&report(1, 5, None), false, SECOND);
+        for s in 2..9 {
+            m.miss(SECOND, s * SECOND);
+        }
+        assert!(!m.dead, "nobody else was heard either");
+        m.miss(2 * SECOND + 1, 9 * SECOND);
+        assert!(m.dead);
+        m.take(&report(2, 5, None), false, 10 * SECOND);
+        assert!(!m.dead);
+        m.miss(10 * SECOND, 11 * SECOND);
+        assert!(!m.dead, "one miss is not enough");
+    }
+
     /// Silence proves nothing before the lease must be over, and only under our token.
     #[test]
     fn silence_alone_proves_nothing() {
--- a/tests/formats.rs
+++ b/tests/formats.rs
@@ -161,6 +161,7 @@
     assert!(bad("front = \"127.0.0.1:1\"", "").contains("front"));
     assert!(bad("127.0.0.1:3", "cloud").contains("outside.cloud"));
     assert!(bad("lease_s = 18.0", "lease_s = -1.0").contains("lease_s"));
+    assert!(bad("lease_s = 18.0", "lease_s = 'x'").contains("lease_s (line"));
     assert!(!bad("[outside]", "[outside").contains('\n'));
 }
 
