--- a/src/hosts/lead.rs
+++ b/src/hosts/lead.rs
@@ -51,7 +51,6 @@
             }
             if !self.leads().await {
                 mem = Memory::default();
-                // Whoever is ready asks for the machine types once, so that no start waits for it.
                 continue;
             }
             self.lead(&mut mem).await;
--- a/src/store/view.rs
+++ b/src/store/view.rs
@@ -2,7 +2,7 @@
 //! watches and the node's own transactions.
 
 use crate::fairness::{Counts, Raises};
-use crate::hosts::model::{Charter, Host, HostState};
+use crate::hosts::model::{Charter, Host};
 use crate::jobs::model::{BLOCK, Block, Final, JobId, Placement, Slot, Spec, blocks, fresh};
 use crate::members::{Leader, Member, Part};
 use crate::wire::cloud::MachineType;
@@ -310,18 +310,10 @@
             .collect()
     }
 
-    /// Jobs that the blocks name although the job itself is gone keep their slots out of the
-    /// index: a job that is over is on no machine.
+    /// Tasks of unfinished jobs on a machine: a job that is over is on none.
     pub fn tasks_on(&self, host: &str) -> Option<&BTreeMap<(JobId, u32), Placement>> {
         self.on_host.get(host).filter(|m| !m.is_empty())
     }
-
-    /// Whether a machine may take tasks, as far as the view knows.
-    pub fn open(&self, host: &str) -> bool {
-        self.hosts
-            .get(host)
-            .is_some_and(|h| h.state == HostState::Up)
-    }
 }
 
 fn put<K: Ord, V: serde::de::DeserializeOwned>(m: &mut BTreeMap<K, V>, k: K, v: Option<&Value>) {
