--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -281,3 +281,128 @@
     );
     assert_eq!(build(Rank::Production), vec![]);
 }
+
+/// A gang on a machine that is about to be taken is stopped as a whole, each task with time to save;
+/// a gang that lost a task is stopped at once; and a gang completes together.
+#[test]
+fn gangs_stop_and_complete_together() {
+    let mut v = View::default();
+    let mut rev = 0;
+    let mut put = |v: &mut View, k: String, x: ciborium::Value| {
+        rev += 1;
+        v.put(&k, &x, rev);
+    };
+    put(&mut v, keys::TYPES.into(), to_value(&types()));
+    let host = |state| Host {
+        kind: "small".into(),
+        zone: "a".into(),
+        spot: true,
+        addr: None,
+        session: 1,
+        state,
+        rented: 0,
+    };
+    for id in ["m-1", "m-2"] {
+        put(&mut v, keys::host(id), to_value(&host(HostState::Up)));
+    }
+    let spec = Spec {
+        class: "c".into(),
+        team: "free".into(),
+        kind: Shape::Gang,
+        rank: Rank::Normal,
+        tasks: 2,
+        room: Room {
+            cpus: 3000,
+            gpus: 0,
+            memory: 1000,
+        },
+        image: "i".into(),
+        image_size: 1,
+        types: None,
+        zone: None,
+        one_zone: true,
+        spread: false,
+        spot: true,
+        estimate: 10 * SECOND,
+        checkpoint: 5 * SECOND,
+        save: 2 * SECOND,
+        deadline: None,
+        submitted: 1,
+        cancelled: false,
+    };
+    put(&mut v, keys::job("req-1"), to_value(&spec));
+    let limits = Limits {
+        ops: 16,
+        bytes: 48_000,
+    };
+    let changes = |v: &View, intents: &[Intent]| {
+        let staged = stage(v, intents, &HashSet::new(), &|_| false, limits);
+        staged
+            .into_iter()
+            .flat_map(|s| s.txn.then)
+            .collect::<Vec<_>>()
+    };
+    let placed = changes(&v, &scene_plan(&v));
+    for c in placed {
+        if let Change::Put { put: k, v: x, .. } = c {
+            put(&mut v, k, x);
+        }
+    }
+    assert_eq!(v.jobs["req-1"].placed, 2);
+    assert_eq!(scene_plan(&v), vec![], "nothing to do while it runs");
+
+    let job: coppergw::jobs::model::JobId = "req-1".into();
+    let done = changes(
+        &v,
+        &[Intent::Left {
+            job: job.clone(),
+            index: 0,
+            attempt: 1,
+            done: true,
+        }],
+    );
+    let ends = |c: &Change| matches!(c, Change::Put { put, .. } if *put == keys::fin("req-1"));
+    assert!(done.iter().any(ends), "one done, all done: {done:?}");
+
+    put(
+        &mut v,
+        keys::host("m-2"),
+        to_value(&host(HostState::Draining)),
+    );
+    let graces: Vec<_> = scene_plan(&v)
+        .into_iter()
+        .map(|i| match i {
+            Intent::Stop { index, grace, .. } => (index, grace),
+            other => panic!("{other:?}"),
+        })
+        .collect();
+    assert_eq!(graces, vec![(0, spec.save), (1, spec.save)]);
+
+    put(&mut v, keys::host("m-2"), to_value(&host(HostState::Up)));
+    let lost = changes(
+        &v,
+        &[Intent::Left {
+            job,
+            index: 1,
+            attempt: 1,
+            done: false,
+        }],
+    );
+    for c in lost {
+        if let Change::Put { put: k, v: x, .. } = c {
+            put(&mut v, k, x);
+        }
+    }
+    let stops = scene_plan(&v);
+    assert!(
+        matches!(
+            stops.as_slice(),
+            [Intent::Stop {
+                index: 0,
+                grace: 0,
+                ..
+            }]
+        ),
+        "no half gang, and no new attempt before the old one left: {stops:?}"
+    );
+}
