--- a/src/node.rs
+++ b/src/node.rs
@@ -107,7 +107,7 @@
 /// Pause between two control passes.
 const PASS: Micros = 20 * MILLI;
 /// A control pass at least this often.
-const IDLE_PASS: Micros = SECOND / 2;
+const IDLE_PASS: Micros = SECOND / 5;
 /// Pause between two reads of the watch: every write would otherwise cost each node a request.
 const WATCH_PAUSE: Micros = 25 * MILLI;
 const WATCH_WAIT: Micros = SECOND;
--- a/src/workers/drive.rs
+++ b/src/workers/drive.rs
@@ -26,8 +26,8 @@
 const STUCK: Micros = 3 * SECOND;
 /// Machines with replicas are called when nothing was heard of them for so long, with little time
 /// to answer: a hung one is found in half the time that reports would take.
-const CALL: Micros = 6 * SECOND / 5;
-const CALL_LIMIT: Micros = 3 * SECOND / 5;
+const CALL: Micros = 4 * SECOND / 5;
+const CALL_LIMIT: Micros = 2 * SECOND / 5;
 
 /// The same direct order is not repeated sooner.
 const REPEAT: Micros = SECOND;
