--- a/src/node.rs
+++ b/src/node.rs
@@ -491,7 +491,11 @@
         let failing = self.failing.borrow();
         let responsive = |h: &str| match machines.get(h) {
             // Ours: it must have answered under our token, and lately.
-            Some(m) => m.fenced() && now.saturating_sub(m.heard) < self.settings.report * 2,
+            Some(m) => {
+                m.fenced()
+                    && now.saturating_sub(m.heard) < self.settings.report * 2
+                    && view.hosts.get(h).is_some_and(|x| x.session == m.session)
+            }
             None => self.term(view, part_of(h)).is_none(),
         };
         let held_back = |j: &str| failing.get(j).is_some_and(|f| f.until > now);
--- a/src/workers/drive.rs
+++ b/src/workers/drive.rs
@@ -19,6 +19,10 @@
 const PER_ANSWER: usize = 400;
 /// Direct orders that nobody answered in this time count as unanswered.
 const DIRECT: Micros = 5 * SECOND / 4;
+/// So long after direct orders failed, starts go only into the answers to reports; and an
+/// unanswered one that stands in the way is made impossible by a higher term.
+const UNSURE: Micros = 10 * SECOND;
+const STUCK: Micros = 3 * SECOND;
 /// The same direct order is not repeated sooner.
 const REPEAT: Micros = SECOND;
 /// A job whose tasks fail is tried again after this, doubled with each failure.
@@ -176,6 +180,18 @@
                 machines.insert(id.clone(), m);
             }
         }
+        let mut raise = self.raise.borrow_mut();
+        raise.clear();
+        raise.extend(
+            machines
+                .iter()
+                .filter(|(_, m)| {
+                    m.stuck()
+                        && now.saturating_sub(m.heard) < self.settings.report * 2
+                        && now.saturating_sub(m.probe_failed) > STUCK
+                })
+                .map(|(id, _)| part_of(id)),
+        );
         let mut failing = self.failing.borrow_mut();
         failing.retain(|j, _| view.jobs.contains_key(j));
         let mut d = self.durations.borrow_mut();
@@ -349,7 +365,7 @@
             let list = if m.fenced() {
                 let quiet = now.saturating_sub(m.heard) > self.settings.report * 5 / 4 + SECOND / 2;
                 let mut l = orders(&view, id, m, false);
-                if quiet {
+                if quiet || (m.probe_failed > 0 && now.saturating_sub(m.probe_failed) < UNSURE) {
                     // It may be gone. A start would only become one more that may run late; a
                     // stop may end a cancelled task there, and the answer tells that it lives.
                     l.retain(|o| !matches!(o, Order::Start { .. }));
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -301,9 +301,16 @@
         }
     }
 
-    /// Whether some direct start was never answered.
-    pub fn uncertain(&self) -> bool {
-        !self.unanswered.is_empty() && !self.busy
+    /// Whether an unanswered direct start keeps an attempt from being cleared, moved or started
+    /// again. Only a higher term, seen by the worker, makes such a start impossible.
+    pub fn stuck(&self) -> bool {
+        self.fenced()
+            && !self.busy
+            && self.unanswered.iter().any(|(job, index, attempt)| {
+                self.tasks
+                    .get(&(job.clone(), *index))
+                    .is_none_or(|s| s.attempt != *attempt || s.status == TaskStatus::Exited)
+            })
     }
 }
 
@@ -475,3 +482,154 @@
     }
     out
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::jobs::model::{Block, Room, Slot, Spec};
+    use crate::store::keys;
+    use crate::wire::to_value;
+    use crate::wire::user::Rank;
+
+    fn view(slot: Slot, cancelled: bool) -> View {
+        let mut v = View::default();
+        let spec = Spec {
+            class: "c".into(),
+            team: "t".into(),
+            kind: Shape::Array,
+            rank: Rank::Normal,
+            tasks: 1,
+            room: Room::default(),
+            image: "i".into(),
+            image_size: 0,
+            types: None,
+            zone: None,
+            one_zone: false,
+            spread: false,
+            spot: false,
+            estimate: 0,
+            checkpoint: 0,
+            save: 0,
+            deadline: None,
+            submitted: 0,
+            cancelled,
+        };
+        v.put(&keys::job("req-1"), &to_value(&spec), 1);
+        v.put(&keys::block("req-1", 0), &to_value(&Block(vec![slot])), 2);
+        v
+    }
+
+    fn placed(attempt: u32) -> Slot {
+        Slot::Placed(Placement {
+            attempt,
+            host: "m".into(),
+            session: 1,
+            stop: None,
+        })
+    }
+
+    fn report(tick: u64, token: u64, task: Option<TaskStatus>) -> Report {
+        Report {
+            deckhand: "m".into(),
+            address: "10.0.0.1:1".into(),
+            rig: "t".into(),
+            yard: "z".into(),
+            loaners: false,
+            shift: 1,
+            tick,
+            baton: token,
+            recall_s: None,
+            shards: task
+                .map(|status| TaskReport {
+                    shard: "req-1/0".into(),
+                    attempt: 1,
+                    status,
+                    cause: (status == TaskStatus::Exited).then_some(Cause::Done),
+                    saved: None,
+                })
+                .into_iter()
+                .collect(),
+        }
+    }
+
+    fn concluded(v: &View, m: &Machine, now: Micros) -> usize {
+        let mut out = Vec::new();
+        reconcile(v, &"m".into(), m, 18 * SECOND, now, &mut out);
+        out.len()
+    }
+
+    fn host(v: &mut View) {
+        let h = crate::hosts::model::Host {
+            kind: "t".into(),
+            zone: "z".into(),
+            spot: false,
+            addr: None,
+            session: 1,
+            state: crate::hosts::model::HostState::Up,
+            rented: 0,
+        };
+        v.put(&keys::host("m"), &to_value(&h), 3);
+    }
+
+    /// A direct start that nobody answered may run after a `clear`: no clear until it was answered.
+    #[test]
+    fn nothing_is_cleared_while_a_start_may_still_come() {
+        let id: Rc<str> = "m".into();
+        let v = view(placed(1), false);
+        let mut m = Machine::new(5, 0);
+        m.take(&report(1, 5, None), false, 1);
+        let direct = orders(&v, &id, &mut m, false);
+        assert!(matches!(direct.as_slice(), [Order::Start { .. }]));
+        m.sent(&direct);
+        m.take(&report(2, 5, Some(TaskStatus::Exited)), false, 2);
+        let over = view(Slot::Done, false);
+        assert!(orders(&over, &id, &mut m, true).is_empty());
+        assert!(m.stuck(), "only a higher term helps");
+        m.answered_direct(&direct);
+        assert!(matches!(
+            orders(&over, &id, &mut m, true).as_slice(),
+            [Order::Clear { .. }]
+        ));
+        // And never directly: it could overtake a start in the answer to a report.
+        assert!(orders(&over, &id, &mut m, false).is_empty());
+    }
+
+    /// A start in the answer to a report is executed before the next report or never; the answer to
+    /// direct orders in between proves nothing, and neither does a report with another token.
+    #[test]
+    fn absence_is_proved_by_the_next_report_alone() {
+        let id: Rc<str> = "m".into();
+        let mut v = view(placed(1), false);
+        host(&mut v);
+        let mut m = Machine::new(5, 0);
+        m.take(&report(1, 4, None), false, 1);
+        let mut gone = view(placed(1), true);
+        host(&mut gone);
+        assert_eq!(concluded(&gone, &m, 2), 0, "an older owner may still act");
+        m.take(&report(2, 5, None), false, 2);
+        assert_eq!(orders(&v, &id, &mut m, true).len(), 1);
+        assert_eq!(concluded(&gone, &m, 3), 0, "the answer is on its way");
+        m.take(&report(3, 5, None), true, 3);
+        assert_eq!(concluded(&gone, &m, 4), 0, "still on its way");
+        m.take(&report(4, 5, None), false, 4);
+        assert_eq!(concluded(&gone, &m, 5), 1);
+        assert_eq!(concluded(&v, &m, 5), 0, "what should run is started again");
+    }
+
+    /// Silence proves nothing before the lease must be over, and only under our token.
+    #[test]
+    fn silence_alone_proves_nothing() {
+        let mut v = view(placed(1), false);
+        host(&mut v);
+        let mut m = Machine::new(5, 0);
+        m.take(&report(1, 4, Some(TaskStatus::Running)), false, 1);
+        assert_eq!(concluded(&v, &m, 900 * SECOND), 0);
+        m.take(&report(2, 5, Some(TaskStatus::Running)), false, 2 * SECOND);
+        m.answered = Some(3 * SECOND);
+        assert_eq!(concluded(&v, &m, 21 * SECOND), 0);
+        assert_eq!(concluded(&v, &m, 23 * SECOND), 1);
+        // A late report changes nothing that a newer one said.
+        m.take(&report(1, 4, None), false, 24 * SECOND);
+        assert_eq!(m.tasks.len(), 1);
+    }
+}
--- /dev/null
+++ b/tests/formats.rs
@@ -0,0 +1,253 @@
+//! Formats: what is written can be read again, and arbitrary bytes never do harm.
+
+use coppergw::jobs::model::{Block, Placement, Refusal, Slot, admit};
+use coppergw::policy::Policy;
+use coppergw::settings::Settings;
+use coppergw::wire::cloud::MachineType;
+use coppergw::wire::peer::{Hello, pack, unpack};
+use coppergw::wire::state::{Log, Page, Revision};
+use coppergw::wire::user::{JobAnswer, Rank, Shape, Submission, route, valid_id};
+use coppergw::wire::worker::{Cause, Order, Orders, Report};
+use coppergw::wire::{cloud, decode, encode, from_value, to_value};
+use proptest::prelude::*;
+use std::collections::BTreeMap;
+
+const SETTINGS: &str = r#"
+node_name = "a"
+area = "z"
+front = "127.0.0.1:1"
+peer_bind = "127.0.0.1:2"
+something_new = 7
+[outside]
+cloud = "127.0.0.1:3"
+state = "127.0.0.1:4"
+[deployment]
+zones = ["z"]
+[[deployment.teams]]
+name = "free"
+[[deployment.teams]]
+name = "capped"
+cpus_max = 4.0
+[deployment.workers]
+report_s = 3.0
+lease_s = 18.0
+gang_wait_s = 40.0
+gang_peer_s = 5.0
+cancel_s = 48.0
+[deployment.state]
+rps = 200.0
+write_rps = 40.0
+value_kb = 32.0
+txn_ops = 16
+[deployment.cloud]
+rps = 6.0
+list_lag_s = 6.0
+[deployment.machine_limits]
+max_connections = 2500
+"#;
+
+fn settings() -> Settings {
+    Settings::parse("s.toml", SETTINGS).expect("settings")
+}
+
+fn types() -> BTreeMap<String, MachineType> {
+    let t = MachineType {
+        sku: "g8".into(),
+        cores: 8.0,
+        accelerators: 2.0,
+        ram_gb: 64.0,
+        local_gb: 1.0,
+        fetch_gb_per_s: 1.0,
+        rate: 1.0,
+        market_price: None,
+        ready_s: 1.0,
+        yards: vec!["z".into()],
+    };
+    BTreeMap::from([("g8".to_string(), t)])
+}
+
+fn submission() -> Submission {
+    Submission {
+        id: "req-000412".into(),
+        jobclass: "train".into(),
+        owner: "free".into(),
+        shape: Shape::Gang,
+        rank: Rank::High,
+        shards: 16,
+        cores: 8.0,
+        accelerators: 1.0,
+        ram_gb: 64.0,
+        bundle: "img-07".into(),
+        size_gb: 6.2,
+        rigs: Some(vec!["g8".into()]),
+        yard: None,
+        together: true,
+        scatter: false,
+        loaners: true,
+        expected_s: 240.0,
+        bookmark_s: 30.0,
+        flush_s: 4.0,
+        due_s: Some(900.0),
+    }
+}
+
+/// 422 as the protocol defines it for each shape; 400 for what is malformed.
+#[test]
+fn submissions_are_told_apart() {
+    let (s, t) = (settings(), types());
+    let judge = |f: &dyn Fn(&mut Submission)| {
+        let mut x = submission();
+        f(&mut x);
+        match admit(&x, &s, &t, 1) {
+            Ok(_) => 201,
+            Err(Refusal::Malformed(_)) => 400,
+            Err(Refusal::Impossible(_)) => 422,
+        }
+    };
+    assert_eq!(judge(&|_| ()), 201);
+    assert_eq!(judge(&|x| x.id = "job-1".into()), 400);
+    assert_eq!(judge(&|x| x.shards = 0), 400);
+    assert_eq!(judge(&|x| x.shards = 100_001), 400);
+    assert_eq!(judge(&|x| x.cores = f64::NAN), 400);
+    assert_eq!(judge(&|x| x.flush_s = -1.0), 400);
+    assert_eq!(judge(&|x| x.owner = "nobody".into()), 422);
+    assert_eq!(judge(&|x| x.cores = 9.0), 422);
+    assert_eq!(judge(&|x| x.rigs = Some(vec!["other".into()])), 422);
+    assert_eq!(judge(&|x| x.yard = Some("elsewhere".into())), 422);
+    // Over the team's limit: an array counts one task, the others all of them.
+    let capped = |shape, cores| {
+        judge(&move |x: &mut Submission| {
+            x.owner = "capped".into();
+            x.shape = shape;
+            x.cores = cores;
+        })
+    };
+    assert_eq!(capped(Shape::Array, 4.0), 201);
+    assert_eq!(capped(Shape::Array, 5.0), 422);
+    assert_eq!(capped(Shape::Gang, 1.0), 422);
+    assert_eq!(capped(Shape::Service, 1.0), 422);
+    assert_eq!(capped(Shape::Service, 0.25), 201);
+}
+
+#[test]
+fn orders_read_as_the_protocol_writes_them() {
+    let o = Orders {
+        baton: 41,
+        shift: None,
+        orders: vec![Order::Stop {
+            shard: "req-1/2".into(),
+            attempt: 3,
+            wind_down_s: 10.0,
+        }],
+    };
+    let v: serde_json::Value = decode(&encode(&o)).expect("decodes");
+    let want = serde_json::json!({"baton": 41, "orders": [
+        {"verb": "stop", "shard": "req-1/2", "try": 3, "wind_down_s": 10.0}]});
+    assert_eq!(v, want);
+    let r = serde_json::json!({"deckhand": "m-1", "address": "10.1.0.2:9000", "rig": "g8",
+        "yard": "a", "shift": 1, "tick": 88, "new": {"x": [1]}, "shards": [
+        {"shard": "req-1/0", "try": 1, "status": "ended", "cause": "never heard of"}]});
+    let r: Report = decode(&encode(&r)).expect("unknown fields and causes are taken");
+    assert_eq!(r.shards[0].cause, Some(Cause::Other));
+}
+
+#[test]
+fn settings_say_what_is_wrong() {
+    let bad = |from: &str, to: &str| {
+        Settings::parse("s.toml", &SETTINGS.replace(from, to))
+            .expect_err("refused")
+            .to_string()
+    };
+    assert!(bad("front = \"127.0.0.1:1\"", "").contains("front"));
+    assert!(bad("127.0.0.1:3", "cloud").contains("outside.cloud"));
+    assert!(bad("lease_s = 18.0", "lease_s = -1.0").contains("lease_s"));
+    assert!(!bad("[outside]", "[outside").contains('\n'));
+}
+
+#[test]
+fn policy_is_sandboxed_and_checked() {
+    let p = |t: &str| Policy::parse("p.lua", t);
+    assert_eq!(p("return {}").expect("empty"), Policy::default());
+    let half = p("local x = 2\nreturn { fairness_threshold = 1 / x, use_spot = false }");
+    assert_eq!(half.expect("a script").fairness_threshold, 0.5);
+    let bad = |t: &str| p(t).expect_err("refused").to_string();
+    assert!(bad("return { nonsense = 1 }").contains("nonsense"));
+    assert!(bad("return { fairness_threshold = 7 }").contains("fairness_threshold"));
+    assert!(bad("return {\n x = }").contains("p.lua:2"));
+    assert!(bad("while true do end").contains("too long"));
+    assert!(p("return { max_machines = io.open('/etc/passwd') }").is_err());
+    assert!(p("return { max_machines = #string.rep('x', 1e9) }").is_err());
+}
+
+fn slot() -> impl Strategy<Value = Slot> {
+    let placed = (1u32..9, "m-[0-9]{6}", 1u64..9, any::<Option<u16>>()).prop_map(
+        |(attempt, host, session, stop)| {
+            Slot::Placed(Placement {
+                attempt,
+                host: host.into(),
+                session,
+                stop: stop.map(|ms| u64::from(ms) * 1000),
+            })
+        },
+    );
+    prop_oneof![(0u32..9).prop_map(Slot::Waiting), placed, Just(Slot::Done)]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 128,
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(3),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn blocks_survive_the_state_service(slots in proptest::collection::vec(slot(), 0..256)) {
+        let b = Block(slots);
+        let bytes = encode(&to_value(&b));
+        // A full block fits into the smallest value that either site allows.
+        prop_assert!(bytes.len() < 32 * 1024);
+        prop_assert_eq!(from_value::<Block>(&decode(&bytes).expect("value")), Some(b));
+    }
+
+    #[test]
+    fn arbitrary_bytes_do_no_harm(b in proptest::collection::vec(any::<u8>(), 0..200)) {
+        let _ = decode::<Submission>(&b);
+        let _ = decode::<Report>(&b);
+        let _ = decode::<JobAnswer>(&b);
+        let _ = decode::<Page>(&b);
+        let _ = decode::<Log>(&b);
+        let _ = decode::<Revision>(&b);
+        let _ = decode::<cloud::Page>(&b);
+        let _ = unpack::<Hello>(&b);
+        if let Ok(text) = std::str::from_utf8(&b) {
+            let _ = Settings::parse("x", text);
+            let _ = route(text);
+        }
+    }
+
+    #[test]
+    fn broken_submissions_are_refused_or_equal(cut in 0usize..400, flip in any::<u8>()) {
+        let mut b = encode(&submission());
+        if cut < b.len() {
+            b[cut] ^= flip;
+            if let Ok(s) = decode::<Submission>(&b) {
+                let _ = admit(&s, &settings(), &types(), 1);
+            }
+            prop_assert!(decode::<Submission>(&b[..cut]).is_err());
+        }
+    }
+
+    #[test]
+    fn peers_understand_each_other(node in "[a-z]{1,9}", ok in any::<bool>()) {
+        let h = Hello { node: node.clone(), state_ok: ok, ..Hello::default() };
+        prop_assert_eq!(unpack::<Hello>(&pack(&h)).map(|h| (h.node, h.state_ok)), Some((node, ok)));
+    }
+
+    #[test]
+    fn ids_have_one_form(id in "(req-)?[0-9a-z/ ]{0,24}") {
+        let digits = id.strip_prefix("req-").unwrap_or("x");
+        let want = !digits.is_empty() && digits.len() <= 20 && digits.bytes().all(|b| b.is_ascii_digit());
+        prop_assert_eq!(valid_id(&id), want);
+    }
+}
--- /dev/null
+++ b/tests/rules.rs
@@ -0,0 +1,848 @@
+//! The Rules under generated failures, with a virtual clock and stand-ins written here: a state
+//! service, a cloud that takes machines back, and workers. The controllers' own state machines run
+//! as they are. Messages get lost, or arrive late: transactions, direct orders and reports.
+
+use coppergw::hosts::model::{Host, HostState};
+use coppergw::jobs::commit::{Intent, Limits, stage};
+use coppergw::jobs::model::{Block, JobId, Room, Slot, Spec};
+use coppergw::members::{Member, PARTS, Part, assign, part_of};
+use coppergw::placement::{Scene, plan};
+use coppergw::store::keys;
+use coppergw::store::view::View;
+use coppergw::time::{Micros, SECOND};
+use coppergw::wire::cloud::MachineType;
+use coppergw::wire::state::{Change, Guard, Txn};
+use coppergw::wire::to_value;
+use coppergw::wire::user::{Rank, Shape};
+use coppergw::wire::worker::{Cause, Order, Report, TaskReport, TaskStatus};
+use coppergw::workers::{Machine, orders, reconcile};
+use proptest::prelude::*;
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::rc::Rc;
+
+const LEASE: Micros = 18 * SECOND;
+const NODES: usize = 3;
+
+#[derive(Default)]
+struct Store {
+    rev: u64,
+    keys: BTreeMap<String, (ciborium::Value, u64)>,
+    log: Vec<(u64, String, Option<ciborium::Value>)>,
+}
+
+impl Store {
+    fn apply(&mut self, t: &Txn) -> bool {
+        for Guard { path, stamp } in &t.guards {
+            if self.keys.get(path).map_or(0, |k| k.1) != *stamp {
+                return false;
+            }
+        }
+        self.rev += 1;
+        for c in &t.then {
+            match c {
+                Change::Put { put, v, .. } => {
+                    self.keys.insert(put.clone(), (v.clone(), self.rev));
+                    self.log.push((self.rev, put.clone(), Some(v.clone())));
+                }
+                Change::Delete { remove } => {
+                    if self.keys.remove(remove).is_some() {
+                        self.log.push((self.rev, remove.clone(), None));
+                    }
+                }
+            }
+        }
+        true
+    }
+    fn put<T: serde::Serialize>(&mut self, key: String, v: &T) {
+        self.apply(&Txn {
+            guards: vec![],
+            then: vec![Change::Put {
+                put: key,
+                v: to_value(v),
+                permit: None,
+            }],
+        });
+    }
+}
+
+#[derive(Clone)]
+struct Task {
+    attempt: u64,
+    status: TaskStatus,
+    cause: Option<Cause>,
+}
+
+struct Worker {
+    name: Rc<str>,
+    alive: bool,
+    session: u64,
+    tick: u64,
+    token: u64,
+    renewed: Micros,
+    tasks: BTreeMap<String, Task>,
+}
+
+struct Node {
+    name: String,
+    lease: u64,
+    view: View,
+    seen: usize,
+    machines: BTreeMap<Rc<str>, Machine>,
+}
+
+enum Late {
+    Txn(Txn),
+    Orders(usize, u64, u64, Vec<Order>),
+    Report(usize, Report),
+}
+
+struct World {
+    now: Micros,
+    store: Store,
+    workers: Vec<Worker>,
+    nodes: Vec<Node>,
+    late: Vec<Late>,
+    leases: u64,
+    jobs: u32,
+    completed: HashSet<String>,
+    ended: HashMap<String, bool>,
+}
+
+fn machine_type() -> MachineType {
+    MachineType {
+        sku: "t".into(),
+        cores: 4.0,
+        accelerators: 0.0,
+        ram_gb: 16.0,
+        local_gb: 10.0,
+        fetch_gb_per_s: 1.0,
+        rate: 1.0,
+        market_price: None,
+        ready_s: 10.0,
+        yards: vec!["z".into()],
+    }
+}
+
+fn spec(kind: Shape, tasks: u32, at: Micros) -> Spec {
+    Spec {
+        class: "c".into(),
+        team: "team".into(),
+        kind,
+        rank: if kind == Shape::Service {
+            Rank::Production
+        } else {
+            Rank::Normal
+        },
+        tasks,
+        room: Room {
+            cpus: 1000,
+            gpus: 0,
+            memory: 1000,
+        },
+        image: "i".into(),
+        image_size: 1,
+        types: None,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: false,
+        estimate: 10 * SECOND,
+        checkpoint: 0,
+        save: 0,
+        deadline: None,
+        submitted: at,
+        cancelled: false,
+    }
+}
+
+impl World {
+    fn new() -> World {
+        let mut w = World {
+            now: 1000 * SECOND,
+            store: Store::default(),
+            workers: Vec::new(),
+            nodes: Vec::new(),
+            late: Vec::new(),
+            leases: 0,
+            jobs: 0,
+            completed: HashSet::new(),
+            ended: HashMap::new(),
+        };
+        w.store.put(keys::TYPES.into(), &vec![machine_type()]);
+        for _ in 0..4 {
+            w.rent();
+        }
+        for n in 0..NODES {
+            w.nodes.push(Node {
+                name: format!("n{n}"),
+                lease: 0,
+                view: View::default(),
+                seen: 0,
+                machines: BTreeMap::new(),
+            });
+            w.sync(n);
+            w.parts(n);
+        }
+        w
+    }
+
+    fn rent(&mut self) {
+        let name: Rc<str> = format!("m-{:06}", self.workers.len()).into();
+        self.store.put(
+            keys::host(&name),
+            &Host {
+                kind: "t".into(),
+                zone: "z".into(),
+                spot: false,
+                addr: None,
+                session: 1,
+                state: HostState::Up,
+                rented: 0,
+            },
+        );
+        self.workers.push(Worker {
+            name,
+            alive: true,
+            session: 1,
+            tick: 0,
+            token: 0,
+            renewed: self.now,
+            tasks: BTreeMap::new(),
+        });
+    }
+
+    /// A node hears everything, and has a lease again if it lost it.
+    fn sync(&mut self, n: usize) {
+        let key = keys::member(&self.nodes[n].name);
+        let have = self.store.keys.contains_key(&key) && self.nodes[n].lease > 0;
+        if !have {
+            self.leases += 1;
+            self.nodes[n].lease = self.leases;
+            let m = Member {
+                lease: self.leases,
+                since: 0,
+                shunned: false,
+            };
+            self.store.put(key, &m);
+        }
+        let node = &mut self.nodes[n];
+        for (rev, k, v) in &self.store.log[node.seen..] {
+            match v {
+                Some(v) => node.view.put(k, v, *rev),
+                None => node.view.delete(k, *rev),
+            }
+        }
+        node.seen = self.store.log.len();
+        node.view.rev = self.store.rev;
+    }
+
+    fn term(&self, n: usize, part: u32) -> Option<u64> {
+        let node = &self.nodes[n];
+        let p = node.view.parts.get(&part)?;
+        (p.owner == node.name
+            && p.lease == node.lease
+            && node.view.rev >= node.view.stamp(&keys::part(part)))
+        .then_some(p.term)
+    }
+
+    fn parts(&mut self, n: usize) {
+        let node = &self.nodes[n];
+        let want = assign(&node.view.parts, &node.view.members, 0);
+        let mut t = Txn::default();
+        for p in 0..PARTS {
+            let have = node.view.parts.get(&p);
+            let ours = have.is_some_and(|x| x.owner == node.name && x.lease == node.lease);
+            let stuck = node
+                .machines
+                .iter()
+                .any(|(id, m)| part_of(id) == p && m.stuck());
+            if want.get(&p) == Some(&node.name) && (!ours || stuck) {
+                let key = keys::part(p);
+                t.guards.push(Guard {
+                    path: key.clone(),
+                    stamp: node.view.stamp(&key),
+                });
+                t.then.push(Change::Put {
+                    put: key,
+                    v: to_value(&Part {
+                        owner: node.name.clone(),
+                        lease: node.lease,
+                        term: have.map_or(0, |x| x.term) + 1,
+                    }),
+                    permit: None,
+                });
+            }
+        }
+        if !t.then.is_empty() {
+            self.store.apply(&t);
+        }
+    }
+
+    fn adopt(&mut self, n: usize) {
+        let ids: Vec<Rc<str>> = self.nodes[n].view.hosts.keys().cloned().collect();
+        let terms: Vec<Option<u64>> = (0..PARTS).map(|p| self.term(n, p)).collect();
+        let now = self.now;
+        let node = &mut self.nodes[n];
+        node.machines
+            .retain(|id, m| terms[part_of(id) as usize] == Some(m.term));
+        let gone: Vec<Rc<str>> = node.view.on_host.keys().cloned().collect();
+        for id in ids.into_iter().chain(gone) {
+            if let Some(t) = terms[part_of(&id) as usize] {
+                node.machines
+                    .entry(id)
+                    .or_insert_with(|| Machine::new(t, now));
+            }
+        }
+    }
+
+    /// One control pass. `fate`: carried out, carried out without an answer, or late.
+    fn pass(&mut self, n: usize, fate: u8) {
+        self.adopt(n);
+        let terms: Vec<Option<u64>> = (0..PARTS).map(|p| self.term(n, p)).collect();
+        let node = &self.nodes[n];
+        let mut intents = Vec::new();
+        for (id, m) in &node.machines {
+            reconcile(&node.view, id, m, LEASE, self.now, &mut intents);
+        }
+        for (id, j) in &node.view.jobs {
+            if (j.spec.cancelled && j.placed == 0) || j.done == j.spec.tasks {
+                intents.push(Intent::Settle { job: id.clone() });
+            }
+        }
+        let responsive = |h: &str| {
+            node.machines
+                .get(h)
+                .is_none_or(|m| m.fenced() && self.now - m.heard < 6 * SECOND)
+        };
+        let ours = |h: &str| terms[part_of(h) as usize].is_some();
+        let p = plan(&Scene {
+            view: &node.view,
+            wall: self.now,
+            teams: &[],
+            objectives: &[],
+            responsive: &responsive,
+            held_back: &|_| false,
+            forecast: false,
+        });
+        intents.extend(p.intents.into_iter().filter(|i| match i {
+            Intent::Place { tasks, .. } => ours(&tasks[0].1),
+            _ => true,
+        }));
+        let limits = Limits {
+            ops: 16,
+            bytes: 48_000,
+        };
+        let mut sessions = Vec::new();
+        for (id, m) in &node.machines {
+            if let Some(h) = node.view.hosts.get(id)
+                && m.fenced()
+                && m.session > h.session
+            {
+                let key = keys::host(id);
+                let guards = [key.clone(), keys::part(part_of(id))]
+                    .map(|path| Guard {
+                        stamp: node.view.stamp(&path),
+                        path,
+                    })
+                    .to_vec();
+                let session = m.session;
+                sessions.push(Txn {
+                    guards,
+                    then: vec![Change::Put {
+                        put: key,
+                        v: to_value(&Host {
+                            session,
+                            ..h.clone()
+                        }),
+                        permit: None,
+                    }],
+                });
+            }
+        }
+        let staged = stage(&node.view, &intents, &HashSet::new(), &|_| false, limits);
+        for t in sessions {
+            self.store.apply(&t);
+        }
+        for s in staged {
+            match fate % 4 {
+                0 => self.late.push(Late::Txn(s.txn)),
+                _ => {
+                    self.store.apply(&s.txn);
+                }
+            }
+        }
+    }
+
+    fn report(&mut self, w: usize) -> Report {
+        let x = &mut self.workers[w];
+        x.tick += 1;
+        Report {
+            deckhand: x.name.to_string(),
+            address: String::new(),
+            rig: "t".into(),
+            yard: "z".into(),
+            loaners: false,
+            shift: x.session,
+            tick: x.tick,
+            baton: x.token,
+            recall_s: None,
+            shards: x
+                .tasks
+                .iter()
+                .map(|(k, t)| TaskReport {
+                    shard: k.clone(),
+                    attempt: t.attempt,
+                    status: t.status,
+                    cause: t.cause,
+                    saved: None,
+                })
+                .collect(),
+        }
+    }
+
+    /// A controller gets a report and gives orders with its token, if the machine is its own.
+    fn answer(&mut self, n: usize, r: &Report) -> Option<(u64, Vec<Order>)> {
+        let id: Rc<str> = r.deckhand.as_str().into();
+        let term = self.term(n, part_of(&id))?;
+        if r.baton > term {
+            return None;
+        }
+        let now = self.now;
+        let node = &mut self.nodes[n];
+        let m = node
+            .machines
+            .entry(id.clone())
+            .or_insert_with(|| Machine::new(term, now));
+        if m.term != term {
+            *m = Machine::new(term, now);
+        }
+        let newer = (r.shift, r.tick) > (m.session, m.tick);
+        m.take(r, false, now);
+        m.answered = Some(now);
+        let list = if newer {
+            orders(&node.view, &id, m, true)
+        } else {
+            Vec::new()
+        };
+        Some((term, list))
+    }
+
+    fn execute(&mut self, w: usize, list: &[Order]) {
+        for o in list {
+            match o {
+                Order::Start { shard, attempt } => self.start(w, shard, *attempt),
+                Order::Stop { shard, attempt, .. } => {
+                    if let Some(t) = self.workers[w].tasks.get_mut(shard)
+                        && t.attempt == *attempt
+                        && t.status != TaskStatus::Exited
+                    {
+                        t.status = TaskStatus::Exited;
+                        t.cause = Some(Cause::Stopped);
+                    }
+                }
+                Order::Clear { shard, attempt } => {
+                    let x = &mut self.workers[w].tasks;
+                    if x.get(shard)
+                        .is_some_and(|t| t.attempt == *attempt && t.status == TaskStatus::Exited)
+                    {
+                        x.remove(shard);
+                    }
+                }
+            }
+        }
+    }
+
+    fn start(&mut self, w: usize, task: &str, attempt: u64) {
+        if self.workers[w].tasks.contains_key(task) {
+            return;
+        }
+        for (i, x) in self.workers.iter().enumerate() {
+            let there = x.alive
+                && x.tasks
+                    .get(task)
+                    .is_some_and(|t| t.status != TaskStatus::Exited);
+            assert!(
+                !there,
+                "ran_twice: {task} runs on {i} and is started on {w}"
+            );
+        }
+        let (job, _) = task.split_once('/').expect("task name");
+        assert!(
+            !self.ended.get(job).is_some_and(|done| *done),
+            "{task} starts although its job is done"
+        );
+        let done = self.completed.contains(task);
+        self.workers[w].tasks.insert(
+            task.into(),
+            Task {
+                attempt,
+                status: if done {
+                    TaskStatus::Exited
+                } else {
+                    TaskStatus::Running
+                },
+                cause: done.then_some(Cause::Done),
+            },
+        );
+    }
+
+    /// A worker reports to a node; the answer comes back or is lost.
+    fn exchange(&mut self, w: usize, n: usize, fate: u8) {
+        if !self.workers[w].alive {
+            return;
+        }
+        let sent = self.now;
+        let r = self.report(w);
+        if fate.is_multiple_of(8) {
+            self.late.push(Late::Report(n, r));
+            return;
+        }
+        let Some((token, list)) = self.answer(n, &r) else {
+            return;
+        };
+        let x = &mut self.workers[w];
+        if fate % 8 == 1 || token < x.token || r.shift != x.session {
+            return;
+        }
+        x.token = token;
+        x.renewed = sent;
+        self.execute(w, &list);
+    }
+
+    /// Direct orders of a node to all of its machines.
+    fn direct(&mut self, n: usize, w: usize, fate: u8) {
+        self.adopt(n);
+        let id = self.workers[w].name.clone();
+        let node = &mut self.nodes[n];
+        let Some(m) = node.machines.get_mut(&id) else {
+            return;
+        };
+        let session = if m.session > 0 { m.session } else { 1 };
+        let list = if m.fenced() {
+            orders(&node.view, &id, m, false)
+        } else {
+            Vec::new()
+        };
+        m.sent(&list);
+        let term = m.term;
+        if fate.is_multiple_of(4) || !self.workers[w].alive {
+            self.late.push(Late::Orders(w, term, session, list));
+            return;
+        }
+        self.deliver(w, term, session, &list);
+        if fate % 4 == 1 {
+            return; // carried out, but the answer is lost
+        }
+        let r = self.report(w);
+        let now = self.now;
+        if let Some(m) = self.nodes[n].machines.get_mut(&id) {
+            m.answered_direct(&list);
+            m.take(&r, true, now);
+        }
+    }
+
+    fn deliver(&mut self, w: usize, term: u64, session: u64, list: &[Order]) {
+        let x = &mut self.workers[w];
+        if !x.alive || term < x.token || session != x.session {
+            return;
+        }
+        x.token = term;
+        self.execute(w, list);
+    }
+
+    fn arrive(&mut self, k: usize) {
+        if self.late.is_empty() {
+            return;
+        }
+        let k = k % self.late.len();
+        match self.late.remove(k) {
+            Late::Txn(t) => {
+                self.store.apply(&t);
+            }
+            Late::Orders(w, term, session, list) => self.deliver(w, term, session, &list),
+            Late::Report(n, r) => {
+                self.answer(n, &r);
+            }
+        }
+    }
+
+    fn pass_time(&mut self, t: Micros) {
+        self.now += t;
+        for x in &mut self.workers {
+            if x.alive && self.now - x.renewed > LEASE {
+                x.session += 1;
+                x.renewed = self.now;
+                x.tasks.clear();
+            }
+        }
+    }
+
+    fn step(&mut self, op: u8, a: u8, b: u8) {
+        let n = a as usize % NODES;
+        let w = b as usize % self.workers.len();
+        let job: JobId = format!("req-{}", u32::from(b) % self.jobs.max(1))
+            .as_str()
+            .into();
+        match op % 16 {
+            0 | 1 => self.sync(n),
+            2 => {
+                self.sync(n);
+                self.parts(n);
+                self.sync(n);
+            }
+            3..=5 => self.pass(n, b),
+            6..=8 => {
+                // Mostly to the owner.
+                let part = part_of(&self.workers[w].name);
+                let owner = (0..NODES).find(|n| self.term(*n, part).is_some());
+                self.exchange(
+                    w,
+                    owner.filter(|_| !a.is_multiple_of(8)).unwrap_or(n),
+                    a / 8,
+                );
+            }
+            9 | 10 => self.direct(n, w, a / 3),
+            11 => self.arrive(b as usize),
+            12 => self.pass_time(u64::from(a % 64) * SECOND / 8),
+            13 => match a % 4 {
+                // A lease ends, its node knowing or not; a node starts anew; a machine is returned.
+                0 => {
+                    let key = keys::member(&self.nodes[n].name);
+                    self.store.apply(&Txn {
+                        guards: vec![],
+                        then: vec![Change::Delete { remove: key }],
+                    });
+                }
+                1 => {
+                    let name = self.nodes[n].name.clone();
+                    self.nodes[n] = Node {
+                        name,
+                        lease: 0,
+                        view: View::default(),
+                        seen: 0,
+                        machines: BTreeMap::new(),
+                    };
+                }
+                2 => {
+                    let key = keys::host(&self.workers[w].name);
+                    self.workers[w].alive = false;
+                    self.workers[w].tasks.clear();
+                    self.store.apply(&Txn {
+                        guards: vec![],
+                        then: vec![Change::Delete { remove: key }],
+                    });
+                    self.rent();
+                }
+                _ => {
+                    let mut hit = None;
+                    for (k, t) in &mut self.workers[w].tasks {
+                        if t.status == TaskStatus::Running {
+                            t.status = TaskStatus::Exited;
+                            t.cause = Some(Cause::Error);
+                            hit = Some(k.clone());
+                            break;
+                        }
+                    }
+                    drop(hit);
+                }
+            },
+            14 => {
+                if let Some((k, t)) = self.workers[w]
+                    .tasks
+                    .iter_mut()
+                    .find(|(_, t)| t.status == TaskStatus::Running)
+                {
+                    t.status = TaskStatus::Exited;
+                    t.cause = Some(Cause::Done);
+                    self.completed.insert(k.clone());
+                }
+            }
+            _ => {
+                let key = keys::job(&job);
+                if !b.is_multiple_of(4) || self.jobs == 0 {
+                    let kind = [Shape::Array, Shape::Service, Shape::Array][a as usize % 3];
+                    let s = spec(kind, 1 + u32::from(a % 3), self.now);
+                    self.store.put(keys::job(&format!("req-{}", self.jobs)), &s);
+                    self.jobs += 1;
+                } else if let Some((v, stamp)) = self.store.keys.get(&key).cloned() {
+                    let mut s: Spec = v.deserialized().expect("spec");
+                    s.cancelled = true;
+                    self.store.apply(&Txn {
+                        guards: vec![Guard { path: key, stamp }],
+                        then: vec![Change::Put {
+                            put: keys::job(&job),
+                            v: to_value(&s),
+                            permit: None,
+                        }],
+                    });
+                }
+            }
+        }
+        self.check();
+    }
+
+    /// What is written as done was done; what ended stays ended.
+    fn check(&mut self) {
+        for (k, (v, _)) in &self.store.keys {
+            if let Some(rest) = k.strip_prefix("c/block/") {
+                let (job, _) = rest.split_once('/').expect("block key");
+                let b: Block = v.deserialized().expect("block");
+                for (i, s) in b.0.iter().enumerate() {
+                    if *s == Slot::Done {
+                        assert!(self.completed.contains(&format!("{job}/{i}")), "not_done");
+                    }
+                }
+            }
+            if let Some(job) = k.strip_prefix("c/final/") {
+                let f: coppergw::jobs::model::Final = v.deserialized().expect("final");
+                let before = self.ended.insert(job.to_string(), !f.cancelled);
+                assert!(before.is_none_or(|b| b != f.cancelled), "went_back");
+                assert!(
+                    !self.store.keys.contains_key(&keys::job(job)),
+                    "a job is over and goes on"
+                );
+            }
+        }
+    }
+
+    /// Without further failures everything that can end does.
+    fn settle(&mut self) {
+        self.late.clear();
+        // Services would keep their room for ever.
+        let jobs: Vec<(String, Spec)> = self
+            .store
+            .keys
+            .iter()
+            .filter(|(k, _)| k.starts_with("c/job/"))
+            .map(|(k, (v, _))| (k.clone(), v.deserialized().expect("spec")))
+            .collect();
+        for (k, mut s) in jobs {
+            if s.kind == Shape::Service {
+                s.cancelled = true;
+                self.store.put(k, &s);
+            }
+        }
+        for _ in 0..80 {
+            for n in 0..NODES {
+                self.sync(n);
+                self.parts(n);
+                self.sync(n);
+                self.pass(n, 1);
+                self.sync(n);
+            }
+            for w in 0..self.workers.len() {
+                let part = part_of(&self.workers[w].name);
+                if let Some(n) = (0..NODES).find(|n| self.term(*n, part).is_some()) {
+                    self.exchange(w, n, 2);
+                }
+            }
+            for w in 0..self.workers.len() * 4 {
+                self.step(14, 0, (w % self.workers.len()) as u8);
+            }
+            self.pass_time(SECOND);
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 300,
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(20),
+        max_shrink_iters: 60,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn rules_hold_whatever_fails(ops in proptest::collection::vec(any::<(u8, u8, u8)>(), 100..900)) {
+        let mut w = World::new();
+        for (op, a, b) in ops {
+            w.step(op, a, b);
+        }
+        w.settle();
+        // Nothing accepted is forgotten: every job is over by now.
+        for k in w.store.keys.keys() {
+            if k.starts_with("c/job/") {
+                let b = k.replace("/job/", "/block/") + "/0";
+                let slots: Option<Block> = w
+                    .store
+                    .keys
+                    .get(&b)
+                    .map(|x| x.0.deserialized().expect("block"));
+                let on: Vec<_> = w
+                    .workers
+                    .iter()
+                    .map(|x| (&x.name, x.alive, x.session, x.token, x.tasks.len()))
+                    .collect();
+                prop_assert!(false, "{k} never ended: {slots:?} {on:?}");
+            }
+        }
+    }
+}
+
+/// A day on which it happened: a controller that was cut off concluded from its silence that a
+/// lease had ended; the transaction arrived when a newer owner had kept that lease alive.
+#[test]
+fn a_late_conclusion_of_a_deposed_owner_changes_nothing() {
+    let mut w = World::new();
+    for n in 0..NODES {
+        w.sync(n);
+    }
+    w.store
+        .put(keys::job("req-0"), &spec(Shape::Service, 1, w.now));
+    w.jobs = 1;
+    let run = |w: &mut World| {
+        for n in 0..NODES {
+            w.sync(n);
+            w.pass(n, 1);
+            w.sync(n);
+        }
+        for i in 0..w.workers.len() {
+            let part = part_of(&w.workers[i].name);
+            for n in 0..NODES {
+                if w.term(n, part).is_some() {
+                    w.exchange(i, n, 2);
+                }
+            }
+        }
+    };
+    for _ in 0..4 {
+        run(&mut w);
+        w.pass_time(SECOND);
+    }
+    let host = (0..w.workers.len())
+        .find(|i| !w.workers[*i].tasks.is_empty())
+        .expect("the replica runs");
+    let part = part_of(&w.workers[host].name);
+    let old = (0..NODES)
+        .find(|n| w.term(*n, part).is_some())
+        .expect("owner");
+    // The old owner is cut off: its lease ends, others take its parts and keep the workers alive.
+    let key = keys::member(&w.nodes[old].name);
+    w.store.apply(&Txn {
+        guards: vec![],
+        then: vec![Change::Delete { remove: key }],
+    });
+    for _ in 0..30 {
+        for n in (0..NODES).filter(|n| *n != old) {
+            w.sync(n);
+            w.parts(n);
+            w.sync(n);
+        }
+        for i in 0..w.workers.len() {
+            let part = part_of(&w.workers[i].name);
+            if let Some(n) = (0..NODES).find(|n| *n != old && w.term(*n, part).is_some()) {
+                w.exchange(i, n, 2);
+            }
+        }
+        w.pass_time(SECOND);
+    }
+    w.pass(old, 0);
+    assert!(!w.late.is_empty(), "it does conclude");
+    while !w.late.is_empty() {
+        w.arrive(0);
+    }
+    let (v, _) = w.store.keys.get("c/block/req-0/0").expect("block");
+    let b: Block = v.deserialized().expect("block");
+    assert!(matches!(b.0[0], Slot::Placed(_)), "still placed: {b:?}");
+}
