--- a/src/hosts/lead.rs
+++ b/src/hosts/lead.rs
@@ -3,7 +3,7 @@
 use super::model::{Charter, Host, HostState, put_host};
 use super::{Outlook, decide};
 use crate::node::Node;
-use crate::placement::{self, Scene};
+use crate::placement::{self, Open, Scene};
 use crate::store::client::Outcome;
 use crate::store::keys;
 use crate::time::{Micros, SECOND, from_secs, wall};
@@ -19,8 +19,13 @@
 const LIMIT: Micros = 5 * SECOND;
 /// The leader looks this often.
 const LOOK: Micros = SECOND / 4;
+/// It decides on machines this often, and spends at most this part of its time on it.
+const DECIDE: Micros = SECOND / 4;
+const DECIDE_REST: u64 = 10;
 /// Machine types, for their prices.
 const TYPES_EVERY: Micros = 60 * SECOND;
+/// Machines in one charter: the conditions of one transaction must hold all their keys.
+const PER_CHARTER: usize = 50;
 /// A refused combination is not asked for again so soon.
 const REFUSED: Micros = 8 * SECOND;
 
@@ -35,6 +40,8 @@
     returned: HashMap<String, Micros>,
     /// How often a machine was missing from the list.
     missing: HashMap<Rc<str>, u32>,
+    decide_at: Micros,
+    decide_every: Micros,
     charter_no: u64,
     under_way: Rc<RefCell<HashSet<String>>>,
     returning: Rc<RefCell<HashSet<Rc<str>>>>,
@@ -68,23 +75,43 @@
             mem.list_at = now;
             self.read_list(mem).await;
             self.clean().await;
+            self.close_charters().await;
         }
         if now.saturating_sub(mem.round_at) >= self.policy.fairness_round {
             mem.round_at = now;
             self.fairness_round().await;
         }
+        self.carry_out_charters(mem);
+        self.carry_out_returns(mem);
+        let begun = self.clock.now();
+        if begun.saturating_sub(mem.decide_at) < mem.decide_every {
+            return;
+        }
+        mem.decide_at = begun;
         let decision = {
             let view = self.view.borrow();
             let wall = wall();
             let yes = |_: &str| true;
             let no = |_: &str| false;
+            let freed = HashMap::new();
+            let open = |_: &Rc<str>, h: &Host| {
+                matches!(h.state, HostState::Up | HostState::Booting).then_some(Open {
+                    session: h.session,
+                    mine: true,
+                })
+            };
             let forecast = placement::plan(&Scene {
                 view: &view,
                 wall,
                 teams: &self.settings.teams,
                 objectives: &self.settings.objectives,
-                responsive: &yes,
+                open: &open,
+                freed: &freed,
                 held_back: &no,
+                home: &yes,
+                mine: &yes,
+                gangs: true,
+                arrays: true,
                 forecast: true,
             });
             mem.idle_since
@@ -110,17 +137,14 @@
                 idle_since: &mem.idle_since,
             })
         };
+        let took = self.clock.now().saturating_sub(begun);
+        mem.decide_every = DECIDE.max(took * DECIDE_REST);
         self.mark(&decision.give_back, HostState::Returning).await;
         self.mark(&decision.close, HostState::Closing).await;
         self.mark(&decision.reopen, HostState::Up).await;
         for c in decision.rent {
             mem.charter_no += 1;
-            let name = format!(
-                "{}-{}-{}",
-                self.me(),
-                self.lease.get().unwrap_or(0),
-                mem.charter_no
-            );
+            let name = self.charter_name(mem.charter_no);
             self.write_charter(&name, &c).await;
         }
         self.carry_out_charters(mem);
@@ -181,45 +205,32 @@
         }
         let old = self.settings.list_lag * 3 + 10 * SECOND;
         mem.returned.retain(|_, at| asked.saturating_sub(*at) < old);
-        let mut t = Txn::default();
-        let mut put = |view: &crate::store::view::View, id: &str, h: &Host| {
-            if t.then.len() < self.settings.txn_ops {
-                put_host(&mut t, view, id, h);
-            }
-        };
+        let mut puts: Vec<(String, Host)> = Vec::new();
+        let mut found: BTreeMap<(String, String, bool), Vec<(String, Micros)>> = BTreeMap::new();
         {
             let view = self.view.borrow();
+            let mut put = |id: &str, h: &Host| puts.push((id.to_string(), h.clone()));
             for (id, l) in &all {
                 if mem.returned.contains_key(id) {
                     continue;
                 }
                 match view.hosts.get(id.as_str()) {
                     None => {
+                        // Returned and gone, whatever a list that lags says.
+                        if view.deleted(&keys::host(id)) {
+                            continue;
+                        }
                         let age = from_secs(l.age_s);
-                        put(
-                            &view,
-                            id,
-                            &Host {
-                                kind: l.rig.clone(),
-                                zone: l.yard.clone(),
-                                spot: l.loaners,
-                                addr: l.address.clone(),
-                                session: 0,
-                                state: if l.status == HostStatus::Failed {
-                                    HostState::Lost
-                                } else {
-                                    HostState::Booting
-                                },
-                                rented: asked.saturating_sub(age),
-                            },
-                        );
+                        found
+                            .entry((l.rig.clone(), l.yard.clone(), l.loaners))
+                            .or_default()
+                            .push((id.clone(), asked.saturating_sub(age)));
                     }
                     Some(h)
                         if l.status == HostStatus::Failed
                             && !matches!(h.state, HostState::Lost | HostState::Returning) =>
                     {
                         put(
-                            &view,
                             id,
                             &Host {
                                 state: HostState::Lost,
@@ -245,7 +256,6 @@
                 *n += 1;
                 if *n >= 3 {
                     put(
-                        &view,
                         id,
                         &Host {
                             state: HostState::Lost,
@@ -255,10 +265,35 @@
                 }
             }
         }
-        if !t.then.is_empty()
-            && let Outcome::Done(rev) = self.store.txn(&t).await
-        {
-            self.wrote(&t, rev);
+        // Machines that nobody knows are used: they are paid for. One write for many of them.
+        for ((kind, zone, spot), list) in found {
+            for chunk in list.chunks(PER_CHARTER) {
+                mem.charter_no += 1;
+                let c = Charter {
+                    kind: kind.clone(),
+                    zone: zone.clone(),
+                    spot,
+                    count: chunk.len() as u32,
+                    at: chunk.iter().map(|x| x.1).max().unwrap_or(asked),
+                    names: chunk.iter().map(|x| x.0.clone()).collect(),
+                };
+                let name = self.charter_name(mem.charter_no);
+                self.write_charter(&name, &c).await;
+            }
+        }
+        for chunk in puts.chunks(self.settings.txn_ops) {
+            let mut t = Txn::default();
+            {
+                let view = self.view.borrow();
+                for (id, h) in chunk {
+                    put_host(&mut t, &view, id, h);
+                }
+            }
+            if !t.then.is_empty()
+                && let Outcome::Done(rev) = self.store.txn(&t).await
+            {
+                self.wrote(&t, rev);
+            }
         }
     }
 
@@ -295,6 +330,10 @@
         }
     }
 
+    fn charter_name(&self, n: u64) -> String {
+        format!("{}-{}-{n}", self.me(), self.lease.get().unwrap_or(0))
+    }
+
     async fn write_charter(&self, name: &str, c: &Charter) {
         let t = {
             let view = self.view.borrow();
@@ -334,7 +373,7 @@
             let v = self.view.borrow();
             v.charters
                 .iter()
-                .filter(|(n, _)| !mem.under_way.borrow().contains(*n))
+                .filter(|(n, c)| c.open() && !mem.under_way.borrow().contains(*n))
                 .map(|(n, c)| (n.clone(), c.clone()))
                 .collect()
         };
@@ -391,56 +430,84 @@
         if !names.is_empty() && names.len() < c.count as usize {
             refuse(self);
         }
-        let mut rest = names;
-        loop {
-            let take = rest.len().min(self.settings.txn_ops.saturating_sub(1));
-            let now: Vec<String> = rest.drain(..take).collect();
-            let mut t = Txn::default();
-            {
-                let v = self.view.borrow();
-                for id in &now {
-                    if v.hosts.contains_key(id.as_str()) {
-                        continue;
-                    }
-                    t.guards.push(Guard {
-                        path: keys::host(id),
-                        stamp: 0,
-                    });
-                    t.then.push(Change::Put {
-                        put: keys::host(id),
-                        v: to_value(&Host {
-                            kind: c.kind.clone(),
-                            zone: c.zone.clone(),
-                            spot: c.spot,
-                            addr: None,
-                            session: 0,
-                            state: HostState::Booting,
-                            rented: asked,
-                        }),
-                        permit: None,
-                    });
+        let key = keys::charter(name);
+        let t = {
+            let v = self.view.borrow();
+            let change = if names.is_empty() {
+                Change::Delete {
+                    remove: key.clone(),
                 }
-            }
-            let last = rest.is_empty();
-            if last {
-                t.then.push(Change::Delete {
-                    remove: keys::charter(name),
-                });
-            }
-            match self.store.txn(&t).await {
-                Outcome::Done(rev) => self.wrote(&t, rev),
-                // Asked again with the same name: the cloud gives the same answer.
-                _ => {
-                    self.barrier().await;
-                    return self.sleep(SECOND / 4).await;
+            } else {
+                Change::Put {
+                    put: key.clone(),
+                    v: to_value(&Charter {
+                        names,
+                        at: asked,
+                        ..c.clone()
+                    }),
+                    permit: None,
                 }
+            };
+            Txn {
+                guards: vec![Guard {
+                    stamp: v.stamp(&key),
+                    path: key,
+                }],
+                then: vec![change],
             }
-            if last {
-                return;
+        };
+        match self.store.txn(&t).await {
+            Outcome::Done(rev) => self.wrote(&t, rev),
+            // Asked again with the same name: the cloud gives the same answer.
+            _ => {
+                self.barrier().await;
+                self.sleep(SECOND / 4).await;
             }
         }
     }
 
+    /// Deletes charters whose machines all have keys of their own, or are gone.
+    async fn close_charters(&self) {
+        let t = {
+            let v = self.view.borrow();
+            let Some(t) = v
+                .charters
+                .iter()
+                .filter(|(_, c)| !c.open())
+                .find_map(|(name, c)| {
+                    let key = keys::charter(name);
+                    let mut t = Txn {
+                        guards: vec![Guard {
+                            stamp: v.stamp(&key),
+                            path: key.clone(),
+                        }],
+                        then: vec![Change::Delete { remove: key }],
+                    };
+                    for n in &c.names {
+                        let key = keys::host(n);
+                        if v.stamp(&key) > 0 {
+                            // Its key must be there when the charter goes: without either a machine
+                            // counts as gone.
+                            t.guards.push(Guard {
+                                stamp: v.stamp(&key),
+                                path: key,
+                            });
+                        } else if !v.deleted(&key) {
+                            return None;
+                        }
+                    }
+                    (t.guards.len() <= self.settings.txn_ops * 4).then_some(t)
+                })
+            else {
+                return;
+            };
+            t
+        };
+        if let Outcome::Done(rev) = self.store.txn(&t).await {
+            self.wrote(&t, rev);
+        }
+    }
+
     fn carry_out_returns(self: &Rc<Node>, mem: &mut Memory) {
         let ids: Vec<Rc<str>> = {
             let v = self.view.borrow();
--- a/src/hosts/mod.rs
+++ b/src/hosts/mod.rs
@@ -57,6 +57,9 @@
 /// The shortest time that a machine is charged for.
 const LEAST: Micros = 60 * SECOND;
 
+/// The cloud rents so many machines at most for one request.
+const MOST: u64 = 50;
+
 /// A missing lot of tasks of one kind.
 struct Missing<'a> {
     types: Vec<&'a MachineType>,
@@ -359,8 +362,12 @@
     if let Some(m) = spare(o) {
         missing.push(m);
     }
-    let mut total =
-        v.hosts.len() as u64 + v.charters.values().map(|c| u64::from(c.count)).sum::<u64>();
+    let mut total = v.hosts.len() as u64
+        + v.charters
+            .values()
+            .filter(|c| c.open())
+            .map(|c| u64::from(c.count))
+            .sum::<u64>();
     // Sums by what can be rented for it.
     let mut sums: BTreeMap<(String, String, bool), f64> = BTreeMap::new();
     for m in &missing {
@@ -399,14 +406,14 @@
     for ((kind, zone, spot), n) in sums {
         if v.charters
             .values()
-            .any(|c| c.kind == kind && c.zone == zone && c.spot == spot)
+            .any(|c| c.open() && c.kind == kind && c.zone == zone && c.spot == spot)
         {
             continue;
         }
         let mut count = (n - 0.05).ceil().max(0.0) as u64;
         count = count
             .min(o.policy.max_machines.saturating_sub(total))
-            .min(10);
+            .min(MOST);
         if count > 0 {
             total += count;
             out.rent.push(Charter {
@@ -415,6 +422,7 @@
                 spot,
                 count: count as u32,
                 at: o.wall,
+                names: Vec::new(),
             });
         }
     }
--- a/src/hosts/model.rs
+++ b/src/hosts/model.rs
@@ -73,7 +73,9 @@
     });
 }
 
-/// A rental about to be made: the request's name is written before the request.
+/// Machines of one kind: a rental about to be made (the request's name is written before the
+/// request), and then the machines that came of it, or that were found in the cloud's list. It stays
+/// until each of them has a key of its own, or was returned.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Charter {
     /// Machine type.
@@ -85,10 +87,33 @@
     /// Spot.
     #[serde(rename = "p")]
     pub spot: bool,
-    /// How many.
+    /// How many are asked for.
     #[serde(rename = "n")]
     pub count: u32,
     /// Time of day.
     #[serde(rename = "at")]
     pub at: Micros,
+    /// The machines, once known.
+    #[serde(rename = "m", default)]
+    pub names: Vec<String>,
+}
+
+impl Charter {
+    /// A machine of it of which nothing else is known.
+    pub fn host(&self) -> Host {
+        Host {
+            kind: self.kind.clone(),
+            zone: self.zone.clone(),
+            spot: self.spot,
+            addr: None,
+            session: 0,
+            state: HostState::Booting,
+            rented: self.at,
+        }
+    }
+
+    /// Whether the cloud has not answered yet.
+    pub fn open(&self) -> bool {
+        self.names.is_empty()
+    }
 }
--- a/src/jobs/commit.rs
+++ b/src/jobs/commit.rs
@@ -239,6 +239,10 @@
                 // Tasks of a gang find one another by their attempt: one for all.
                 let top = job.slots().map(|(_, s)| s.attempt()).max().unwrap_or(0);
                 for (i, host, session) in tasks {
+                    // A transaction holds so many conditions; the rest of a large array follows.
+                    if spec.kind != Shape::Gang && g.guards.len() + 4 + 2 > limits.ops * 3 {
+                        break;
+                    }
                     let last = match spec.kind {
                         Shape::Gang => top,
                         _ => slot(&changed, *i).map_or(0, |s| s.attempt()),
@@ -285,7 +289,7 @@
             permit: None,
         });
         g.changes.push(Change::Delete { remove: job_key });
-        for n in 0..job.blocks.len() as u32 {
+        for n in 1..job.blocks.len() as u32 {
             let key = keys::block(id, n);
             let stamp = view.stamp(&key);
             // The end is decided on the blocks as they are in the view.
@@ -303,8 +307,6 @@
         return None;
     }
     for (n, b) in &changed {
-        let key = keys::block(id, *n);
-        g.guards.insert(key.clone(), view.stamp(&key));
         g.bytes += 128
             + b.0
                 .iter()
@@ -313,31 +315,35 @@
                     _ => 14,
                 })
                 .sum::<usize>();
+        if *n == 0 {
+            continue;
+        }
+        let key = keys::block(id, *n);
+        g.guards.insert(key.clone(), view.stamp(&key));
         g.changes.push(Change::Put {
             put: key,
             v: to_value(b),
             permit: None,
         });
     }
-    if placed {
-        if spec.one_zone || spec.spread {
-            // Placements of such a job are decided on each other's zones: one at a time.
-            g.changes.push(Change::Put {
-                put: job_key,
-                v: to_value(spec.as_ref()),
-                permit: None,
-            });
-            g.bytes += 512;
-        }
-        if capped(&spec.team) {
-            let key = keys::team(&spec.team);
-            g.guards.insert(key.clone(), view.stamp(&key));
-            g.changes.push(Change::Put {
-                put: key,
-                v: to_value(&id.to_string()),
-                permit: None,
-            });
-        }
+    // Placements of a job whose zones matter are decided on each other: one at a time.
+    if changed.contains_key(&0) || (placed && (spec.one_zone || spec.spread)) {
+        let first = changed.get(&0).unwrap_or(&job.blocks[0]);
+        g.changes.push(Change::Put {
+            put: job_key,
+            v: to_value(&(spec.as_ref(), first)),
+            permit: None,
+        });
+        g.bytes += 512;
+    }
+    if placed && capped(&spec.team) {
+        let key = keys::team(&spec.team);
+        g.guards.insert(key.clone(), view.stamp(&key));
+        g.changes.push(Change::Put {
+            put: key,
+            v: to_value(&id.to_string()),
+            permit: None,
+        });
     }
     (g.changes.len() <= limits.ops && g.guards.len() <= limits.ops * 4).then_some(g)
 }
--- a/src/jobs/front.rs
+++ b/src/jobs/front.rs
@@ -1,6 +1,6 @@
 //! Users' requests: submit, poll, withdraw.
 
-use super::model::{Final, JobId, Refusal, admit};
+use super::model::{Block, Final, JobId, Record, Refusal, admit};
 use crate::node::Node;
 use crate::store::client::Outcome;
 use crate::store::keys;
@@ -17,7 +17,7 @@
 const COME_BACK: u64 = 1;
 
 /// A submission that would have to wait longer for the state service's budget is not taken now.
-const QUEUE: crate::time::Micros = SECOND / 4;
+const QUEUE: crate::time::Micros = SECOND / 2;
 
 fn later() -> Reply {
     Reply::later(503, COME_BACK)
@@ -234,7 +234,7 @@
             ],
             then: vec![Change::Put {
                 put: keys::job(&s.id),
-                v: to_value(&spec),
+                v: to_value(&Record(spec, Block::default())),
                 permit: None,
             }],
         };
@@ -264,7 +264,8 @@
         if !valid_id(id) {
             return Reply::status(404);
         }
-        for _ in 0..3 {
+        // A placement of the job may come in between.
+        for _ in 0..6 {
             match self.current(id).await {
                 Ok(Some(a)) if matches!(a.status, Status::Done | Status::Cancelled) => {
                     return Reply::with(200, &a);
@@ -286,7 +287,7 @@
                     }],
                     then: vec![Change::Put {
                         put: key,
-                        v: to_value(&spec),
+                        v: to_value(&(spec, &j.blocks[0])),
                         permit: None,
                     }],
                 }
--- a/src/jobs/model.rs
+++ b/src/jobs/model.rs
@@ -322,6 +322,11 @@
     Block(vec![Slot::Waiting(0); len as usize])
 }
 
+/// What a job's key holds: its specification and its first block, so that a small job is one key.
+/// An empty block stands for one of which nothing was written yet.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Record(pub Spec, pub Block);
+
 /// How a job ended. Kept for ever.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Final {
--- a/src/node.rs
+++ b/src/node.rs
@@ -1,18 +1,20 @@
 //! The node: shared state, and the loops that bring what is to what is wanted.
 
+use crate::hosts::model::{Host, HostState};
 use crate::jobs::commit::{Intent, Limits, Staged, stage, sweep};
-use crate::jobs::model::JobId;
-use crate::members::part_of;
-use crate::placement::{self, Scene};
+use crate::jobs::model::{JobId, Room};
+use crate::members::{PARTS, part_of};
+use crate::placement::{self, Open, Scene};
 use crate::policy::Policy;
 use crate::settings::Settings;
 use crate::store::client::{Outcome, StoreClient};
 use crate::store::keys;
-use crate::store::view::View;
+use crate::store::view::{Job, View};
 use crate::time::{Clock, MILLI, Micros, SECOND, dur, wall};
 use crate::wire::client::Client;
 use crate::wire::server::{Ask, Gauge, Reply, serve};
 use crate::wire::state::{Change, Log, Txn};
+use crate::wire::user::Shape;
 use crate::wire::{WireError, peer, worker};
 use crate::workers::{self, Machine};
 use async_executor::LocalExecutor;
@@ -96,24 +98,79 @@
     /// Wakes the control loop.
     pub wake: Event,
     woken: Cell<bool>,
+    /// What machines' reports prove about attempts, and the blocks do not say yet.
+    pub lefts: RefCell<BTreeMap<Rc<str>, Vec<Intent>>>,
+    left_since: RefCell<HashMap<JobId, Micros>>,
+    /// Machines to look at in the next pass.
+    pub dirty: RefCell<HashSet<Rc<str>>>,
+    swept: Cell<Micros>,
+    /// After which silence machines with replicas are called.
+    pub call_every: Cell<Micros>,
+    sweep_every: Cell<Micros>,
+    arrays_at: Cell<Micros>,
+    hosts_at: Cell<Micros>,
+    adopted: RefCell<(u64, Vec<Option<u64>>)>,
     barriers: async_channel::Sender<async_channel::Sender<bool>>,
     barrier_queue: async_channel::Receiver<async_channel::Sender<bool>>,
 }
 
-/// Shares of the state service's limits that one controller takes. Writes come unevenly, so that
-/// each may use more than its third; a 429 is answered by waiting.
-const REQUEST_SHARE: f64 = 0.32;
-const WRITE_SHARE: f64 = 0.5;
-/// Pause between two control passes.
+/// The state service's limits are shared evenly by the controllers that are alive; a little stays
+/// for requests that are not counted here (leases) and for clocks that differ.
+const REQUEST_SHARE: f64 = 0.94;
+const WRITE_SHARE: f64 = 0.97;
+/// Pause between two control passes: at least this, and this many times what the pass took, so that
+/// reports and users are answered while there is much to decide.
 const PASS: Micros = 20 * MILLI;
+const PASS_REST: u64 = 3;
 /// A control pass at least this often.
 const IDLE_PASS: Micros = SECOND / 5;
+/// Every machine is looked at this often, and at most this part of the time goes into it.
+const SWEEP: Micros = SECOND / 5;
+const SWEEP_REST: u64 = 12;
+/// Arrays are placed this often: what became free meanwhile is one write.
+const ARRAY_ROUND: Micros = 2 * SECOND / 5;
+/// Exits of array tasks of which nobody waits to hear are written this much later, together.
+const LAZY: Micros = 2 * SECOND;
+const LAZY_MAX: Micros = 8 * SECOND;
+/// What must run again, or may end a job, is written after this.
+const SOON: Micros = 2 * SECOND / 5;
+/// Shares of the burst of writes that stay for what comes before: placements of arrays leave room
+/// for services and acceptances, bookkeeping also for arrays.
+const KEEP_ARRAYS: f64 = 0.25;
+const KEEP_BOOKS: f64 = 0.5;
+/// Others' waiting tasks are taken only after this: their owner comes first.
+const TAKE_SERVICE: Micros = 6 * SECOND / 5;
+const TAKE_ARRAY: Micros = 3 * SECOND;
+/// The same if their owner is not there.
+const TAKE_ORPHAN: Micros = 3 * SECOND / 10;
 /// Pause between two reads of the watch: every write would otherwise cost each node a request.
-const WATCH_PAUSE: Micros = 25 * MILLI;
+const WATCH_PAUSE: Micros = 40 * MILLI;
+const BARRIER_PAUSE: Micros = 40 * MILLI;
 const WATCH_WAIT: Micros = SECOND;
 /// A view that was not read for so long counts as cut off from the state service.
 const STALE: Micros = 3 * SECOND;
 
+/// The owner of this part places gangs.
+const GANGS: u32 = 0;
+
+/// How long it can wait until what is known of a job's attempts is written.
+fn patience(j: &Job, lefts: &[Intent]) -> Micros {
+    let done = |i: &Intent| matches!(i, Intent::Left { done: true, .. });
+    let all = lefts.len() as u32 >= j.placed;
+    if j.spec.cancelled {
+        // Its user has the answer, and the room is known to be free.
+        return if all { SOON } else { LAZY };
+    }
+    if j.spec.kind != Shape::Array {
+        return 0;
+    }
+    match lefts.iter().all(done) {
+        true if all && j.waiting == 0 => 0,
+        true => LAZY,
+        false => SOON,
+    }
+}
+
 /// Listens, or says on which address it could not.
 async fn listen(field: &str, addr: std::net::SocketAddr) -> std::io::Result<TcpListener> {
     TcpListener::bind(addr)
@@ -132,8 +189,8 @@
                 http.clone(),
                 settings.state,
                 clock,
-                settings.state_rps * REQUEST_SHARE,
-                settings.write_rps * WRITE_SHARE,
+                settings.state_rps * REQUEST_SHARE / (settings.siblings.len() + 1) as f64,
+                settings.write_rps * WRITE_SHARE / (settings.siblings.len() + 1) as f64,
             ),
             settings,
             policy,
@@ -157,6 +214,15 @@
             refused: RefCell::default(),
             wake: Event::new(),
             woken: Cell::new(true),
+            lefts: RefCell::default(),
+            left_since: RefCell::default(),
+            dirty: RefCell::default(),
+            swept: Cell::new(0),
+            call_every: Cell::new(SECOND),
+            sweep_every: Cell::new(0),
+            arrays_at: Cell::new(0),
+            hosts_at: Cell::new(0),
+            adopted: RefCell::default(),
             barriers,
             barrier_queue,
         })
@@ -411,7 +477,7 @@
             for x in all {
                 let _ = x.try_send(ok);
             }
-            self.sleep(15 * MILLI).await;
+            self.sleep(BARRIER_PAUSE).await;
         }
     }
 
@@ -434,43 +500,46 @@
                     self.woken.set(false);
                 }
             }
+            let begun = self.clock.now();
             if self.loaded.get() {
                 self.pass();
             }
-            self.sleep(PASS).await;
+            let took = self.clock.now().saturating_sub(begun);
+            self.sleep(PASS.max(took * PASS_REST)).await;
         }
     }
 
-    /// One pass: everything that follows from the view and the reports as they are now.
+    /// Terms under which we drive each part.
+    pub fn terms(&self, view: &View) -> Vec<Option<u64>> {
+        (0..PARTS).map(|p| self.term(view, p)).collect()
+    }
+
+    /// One pass: everything that follows from the view and the reports as they are now. Between two
+    /// sweeps only machines are looked at that were heard, or whose tasks changed.
     fn pass(self: &Rc<Node>) {
         let now = self.clock.now();
-        let staged = {
+        let terms = self.terms(&self.view.borrow());
+        let full = now.saturating_sub(self.swept.get()) >= self.sweep_every.get();
+        let mut dirty = std::mem::take(&mut *self.dirty.borrow_mut());
+        dirty.extend(std::mem::take(&mut self.view.borrow_mut().touched));
+        let mut staged: Vec<Staged> = Vec::new();
+        {
             let view = self.view.borrow();
-            self.adopt_machines(&view, now);
-            let mut intents: Vec<Intent> = Vec::new();
-            if self.state_ok() {
-                let machines = self.machines.borrow();
-                for (id, m) in machines.iter() {
-                    workers::reconcile(&view, id, m, self.settings.lease, now, &mut intents);
-                }
-            }
-            // What is over, and what was withdrawn before it was placed.
-            for (id, j) in &view.jobs {
-                if (j.spec.cancelled && j.placed == 0) || j.done == j.spec.tasks {
-                    intents.push(Intent::Settle { job: id.clone() });
-                }
+            self.share(&view);
+            let state = (view.hosts_epoch, terms.clone());
+            if full || *self.adopted.borrow() != state {
+                self.adopt_machines(&view, &terms, now);
+                *self.adopted.borrow_mut() = state;
             }
             if self.state_ok() {
-                intents.extend(self.plan(&view, now));
+                self.look(&view, full, &dirty, now);
+                staged = self.decide(&view, &terms, now);
             }
-            if intents.is_empty() {
-                Vec::new()
-            } else {
-                let capped = |t: &str| self.settings.team(t).is_some_and(|t| t.capped());
-                stage(&view, &intents, &self.busy.borrow(), &capped, self.limits())
-            }
-        };
-        self.write_hosts(now);
+        }
+        if full || now.saturating_sub(self.hosts_at.get()) >= SWEEP {
+            self.hosts_at.set(now);
+            self.write_hosts(now);
+        }
         for s in staged {
             self.busy.borrow_mut().extend(s.jobs.iter().cloned());
             let n = self.clone();
@@ -486,48 +555,218 @@
                 })
                 .detach();
         }
-        self.drive(now);
+        self.drive(now, (!full).then_some(&dirty));
+        if full {
+            let took = self.clock.now().saturating_sub(now);
+            self.swept.set(now);
+            self.sweep_every.set(SWEEP.max(took * SWEEP_REST));
+        }
+    }
+
+    /// Keeps our share of the state service's limits: those who are alive share them.
+    fn share(&self, view: &View) {
+        let n = view
+            .members
+            .len()
+            .clamp(1, self.settings.siblings.len() + 1) as f64;
+        self.store.share(
+            self.settings.state_rps * REQUEST_SHARE / n,
+            self.settings.write_rps * WRITE_SHARE / n,
+        );
+    }
+
+    /// What the machines' reports prove.
+    fn look(&self, view: &View, full: bool, dirty: &HashSet<Rc<str>>, now: Micros) {
+        let machines = self.machines.borrow();
+        let mut lefts = self.lefts.borrow_mut();
+        let mut one = |id: &Rc<str>, m: &Machine| {
+            let mut out = Vec::new();
+            workers::reconcile(view, id, m, self.settings.lease, now, &mut out);
+            if out.is_empty() {
+                lefts.remove(id);
+            } else {
+                lefts.insert(id.clone(), out);
+            }
+        };
+        if full {
+            for (id, m) in machines.iter() {
+                one(id, m);
+            }
+        } else {
+            for id in dirty {
+                if let Some(m) = machines.get(id) {
+                    one(id, m);
+                }
+            }
+        }
+        lefts.retain(|id, _| machines.contains_key(id));
     }
 
-    /// The part of the common plan that falls on our machines.
-    fn plan(&self, view: &View, now: Micros) -> Vec<Intent> {
-        if (0..crate::members::PARTS).all(|p| self.term(view, p).is_none()) {
+    /// The transactions of this pass, most worth first, as far as the budget of writes goes. What is
+    /// left out is found again in the next pass.
+    fn decide(&self, view: &View, terms: &[Option<u64>], now: Micros) -> Vec<Staged> {
+        let lefts = self.lefts.borrow();
+        let mut freed: HashMap<Rc<str>, Room> = HashMap::new();
+        let mut by_job: BTreeMap<JobId, Vec<Intent>> = BTreeMap::new();
+        for (host, list) in lefts.iter() {
+            for i in list {
+                if let Some(j) = view.jobs.get(i.job()) {
+                    freed.entry(host.clone()).or_default().give(&j.spec.room);
+                    by_job.entry(i.job().clone()).or_default().push(i.clone());
+                }
+            }
+        }
+        let mut since = self.left_since.borrow_mut();
+        since.retain(|j, _| by_job.contains_key(j));
+        let mut first: Vec<Intent> = Vec::new();
+        let mut books: Vec<(Micros, &JobId)> = Vec::new();
+        for (id, list) in &by_job {
+            let Some(j) = view.jobs.get(id) else { continue };
+            let at = *since.entry(id.clone()).or_insert(now);
+            match patience(j, list) {
+                0 => first.extend(list.iter().cloned()),
+                wait if now.saturating_sub(at) >= wait => books.push((at, id)),
+                _ => {}
+            }
+        }
+        drop(since);
+        // What is over, and what was withdrawn before it was placed.
+        for (id, j) in &view.jobs {
+            if (j.spec.cancelled && j.placed == 0) || j.done == j.spec.tasks {
+                first.push(Intent::Settle { job: id.clone() });
+            }
+        }
+        let (mut level, burst) = self.store.write_level();
+        let arrays =
+            level > burst * KEEP_ARRAYS && now.saturating_sub(self.arrays_at.get()) >= ARRAY_ROUND;
+        if arrays {
+            self.arrays_at.set(now);
+        }
+        let mut later: Vec<Intent> = Vec::new();
+        for i in self.plan(view, terms, &freed, arrays, now) {
+            // A write of a block takes along what else is to be said of its job.
+            if let Some(l) = by_job.get(i.job()) {
+                first.extend(l.iter().cloned());
+            }
+            let array = matches!(&i, Intent::Place { job, .. }
+                if view.jobs.get(job).is_some_and(|j| j.spec.kind == Shape::Array));
+            if array { &mut later } else { &mut first }.push(i);
+        }
+        let capped = |t: &str| self.settings.team(t).is_some_and(|t| t.capped());
+        let mut busy = self.busy.borrow().clone();
+        let mut out = Vec::new();
+        let mut add = |intents: &[Intent], keep: f64| {
+            if intents.is_empty() {
+                return;
+            }
+            for s in stage(view, intents, &busy, &capped, self.limits()) {
+                let n = s.txn.then.len() as f64;
+                if level < burst * keep {
+                    // Users who wait for an answer come before all of it.
+                    continue;
+                }
+                level -= n;
+                busy.extend(s.jobs.iter().cloned());
+                out.push(s);
+            }
+        };
+        add(&first, 0.0);
+        for i in later {
+            let mut list = by_job.get(i.job()).cloned().unwrap_or_default();
+            list.push(i);
+            add(&list, KEEP_ARRAYS);
+        }
+        books.sort();
+        for (at, id) in books {
+            let keep = if now.saturating_sub(at) > LAZY_MAX {
+                KEEP_ARRAYS / 2.0
+            } else {
+                KEEP_BOOKS
+            };
+            add(&by_job[id], keep);
+        }
+        out
+    }
+
+    /// The plan for our machines, and of gangs if these fall to us.
+    fn plan(
+        &self,
+        view: &View,
+        terms: &[Option<u64>],
+        freed: &HashMap<Rc<str>, Room>,
+        arrays: bool,
+        now: Micros,
+    ) -> Vec<Intent> {
+        if terms.iter().all(Option::is_none) {
             return Vec::new();
         }
         let machines = self.machines.borrow();
         let failing = self.failing.borrow();
-        let responsive = |h: &str| match machines.get(h) {
-            // Ours: it must have answered under our token, and lately.
-            Some(m) => {
-                m.fenced()
+        let mine = |h: &str| terms[part_of(h) as usize].is_some();
+        let gangs = terms[GANGS as usize].is_some();
+        let waits = gangs
+            && view
+                .jobs
+                .values()
+                .any(|j| j.spec.kind == Shape::Gang && j.waiting > 0);
+        let open = |id: &Rc<str>, h: &Host| {
+            if !matches!(h.state, HostState::Up | HostState::Booting) {
+                return None;
+            }
+            match machines.get(id) {
+                // Ours: it must have answered under our token, and lately. That it is up need not be
+                // written first.
+                Some(m) => (m.fenced()
                     && now.saturating_sub(m.heard) < self.settings.report * 2
-                    && view.hosts.get(h).is_some_and(|x| x.session == m.session)
+                    && m.session >= h.session)
+                    .then_some(Open {
+                        session: m.session,
+                        mine: true,
+                    }),
+                None => (waits && h.state == HostState::Up && !mine(id)).then_some(Open {
+                    session: h.session,
+                    mine: false,
+                }),
             }
-            None => self.term(view, part_of(h)).is_none(),
         };
-        let held_back = |j: &str| failing.get(j).is_some_and(|f| f.until > now);
-        let plan = placement::plan(&Scene {
+        let home = |j: &str| terms[part_of(j) as usize].is_some();
+        let held_back = |j: &str| {
+            if failing.get(j).is_some_and(|f| f.until > now) {
+                return true;
+            }
+            let Some(job) = view.jobs.get(j) else {
+                return true;
+            };
+            if home(j) || job.spec.kind == Shape::Gang {
+                return false;
+            }
+            let alive = view.parts.get(&part_of(j)).is_some_and(|p| {
+                view.members
+                    .get(&p.owner)
+                    .is_some_and(|m| m.lease == p.lease)
+            });
+            let wait = match (alive, job.spec.kind) {
+                (false, _) => TAKE_ORPHAN,
+                (true, Shape::Service) => TAKE_SERVICE,
+                _ => TAKE_ARRAY,
+            };
+            wall().saturating_sub(job.spec.submitted) < wait
+        };
+        placement::plan(&Scene {
             view,
             wall: wall(),
             teams: &self.settings.teams,
             objectives: &self.settings.objectives,
-            responsive: &responsive,
+            open: &open,
+            freed,
             held_back: &held_back,
+            home: &home,
+            mine: &mine,
+            gangs,
+            arrays,
             forecast: false,
-        });
-        let ours = |h: &str| self.term(view, part_of(h)).is_some();
-        plan.intents
-            .into_iter()
-            .filter(|i| match i {
-                Intent::Place { tasks, .. } => tasks.first().is_some_and(|t| ours(&t.1)),
-                Intent::Stop { job, index, .. } => view
-                    .jobs
-                    .get(job)
-                    .and_then(|j| j.placements().find(|(i, _)| i == index))
-                    .is_some_and(|(_, p)| ours(&p.host)),
-                _ => true,
-            })
-            .collect()
+        })
+        .intents
     }
 
     async fn commit(&self, s: &Staged) {
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -1,6 +1,11 @@
 //! Placement: which waiting task goes to which machine, and who has to make room. A pure function
-//! of the view. Every controller computes the same plan over all machines and carries out what
-//! falls on its own parts; differing views are settled by the conditional writes.
+//! of the view and of what a node's machines reported. Each owner places on the machines of its own
+//! parts: first the waiting tasks of its own jobs, in priority order, then with the room that is left
+//! those of other owners' jobs. One owner places gangs, on everybody's machines. The conditional
+//! writes settle what collides all the same.
+//!
+//! Equal tasks are decided as one run: the cost is that of jobs and of machines with room, not of
+//! tasks times machines.
 
 use crate::hosts::model::{Host, HostState};
 use crate::jobs::commit::Intent;
@@ -9,9 +14,18 @@
 use crate::store::view::{Job, View};
 use crate::time::{Micros, SECOND};
 use crate::wire::user::{Rank, Shape};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::rc::Rc;
 
+/// A machine that may be given tasks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Open {
+    /// Its worker's session.
+    pub session: u64,
+    /// Whether it belongs to the node that plans; others' machines take gangs only.
+    pub mine: bool,
+}
+
 /// What a plan is made from, besides the view.
 pub struct Scene<'a> {
     /// The view.
@@ -22,10 +36,21 @@
     pub teams: &'a [Team],
     /// Aims of the classes.
     pub objectives: &'a [Objective],
-    /// Whether a machine answers, as far as this node can tell.
-    pub responsive: &'a dyn Fn(&str) -> bool,
+    /// Which machines may be given tasks.
+    pub open: &'a dyn Fn(&Rc<str>, &Host) -> Option<Open>,
+    /// Room of tasks that have left their machines for certain, although their blocks do not say so
+    /// yet: that is bookkeeping which can wait.
+    pub freed: &'a HashMap<Rc<str>, Room>,
     /// Whether a job should not be tried just now.
     pub held_back: &'a dyn Fn(&str) -> bool,
+    /// Whether a job is the planning node's own: its tasks come first, and only they push aside.
+    pub home: &'a dyn Fn(&str) -> bool,
+    /// Whether a machine belongs to the planning node's parts.
+    pub mine: &'a dyn Fn(&str) -> bool,
+    /// Whether this node places gangs.
+    pub gangs: bool,
+    /// Whether arrays are placed this time: they can wait until a write is worth its while.
+    pub arrays: bool,
     /// Also place on machines that are still booting: to see what will be missing then.
     pub forecast: bool,
 }
@@ -45,13 +70,29 @@
 const PER_JOB: usize = 512;
 /// A gang that waited this long keeps free machines from younger ones.
 const GANG_PATIENCE: Micros = 40 * SECOND;
+/// A job's own owner pushes lower work aside for it; others only after this long, in case the owner
+/// has no room to make.
+const OTHERS_PUSH: Micros = 5 * SECOND;
+
+/// What can be pushed aside on a machine, found out when first asked.
+struct Soft {
+    stopping: Room,
+    /// All victims together.
+    sum: Room,
+    /// Cheapest first.
+    victims: Vec<(i64, Victim)>,
+}
 
 struct Spot<'a> {
     id: Rc<str>,
     host: &'a Host,
+    session: u64,
+    mine: bool,
+    booting: bool,
     free: Room,
-    stopping: Room,
     whole: Room,
+    images: Option<&'a HashSet<String>>,
+    soft: Option<Soft>,
     /// There are machine types without GPUs.
     elsewhere: bool,
 }
@@ -64,13 +105,22 @@
     from: usize,
     count: usize,
     entitled: bool,
+    home: bool,
     turn: (bool, u64),
 }
 
 /// A task, its machine and the machine's session.
 type Target = (u32, Rc<str>, u64);
-/// A task to stop: job, number, attempt, what it takes, time to save.
-type Victim = (JobId, u32, u32, Room, Micros);
+/// A task to stop: job, number, attempt, what it takes.
+type Victim = (JobId, u32, u32, Room);
+/// What two jobs must share for a machine to suit either: what they take, service, spot, types, zone.
+type Kind<'a> = (
+    [i64; 3],
+    bool,
+    bool,
+    Option<&'a Vec<String>>,
+    Option<&'a String>,
+);
 
 struct Usage {
     cpus: i64,
@@ -84,6 +134,16 @@
         && (spec.spot || !h.spot)
 }
 
+fn kind_of(s: &Spec) -> Kind<'_> {
+    (
+        [s.room.cpus, s.room.gpus, s.room.memory],
+        s.kind == Shape::Service,
+        s.spot,
+        s.types.as_ref(),
+        s.zone.as_ref(),
+    )
+}
+
 /// Turn among jobs of one rank that the fairness loop has not told apart: those that can still meet
 /// an aim of their class before those that cannot, and of the former the least work first.
 fn turn(s: &Scene<'_>, job: &Job) -> (bool, u64) {
@@ -114,43 +174,49 @@
     let mut spots: Vec<Spot<'_>> = v
         .hosts
         .iter()
-        .filter(|(id, h)| match h.state {
-            HostState::Up => (s.responsive)(id),
-            HostState::Booting => s.forecast,
-            _ => false,
-        })
         .filter_map(|(id, host)| {
+            let open = (s.open)(id, host)?;
             let whole = Room::of(v.types.get(&host.kind)?);
             let mut free = whole;
-            let mut stopping = Room::default();
-            for ((job, _), p) in v.tasks_on(id).into_iter().flatten() {
-                if let Some(j) = v.jobs.get(job) {
-                    free.take(&j.spec.room);
-                    if p.stop.is_some() || j.spec.cancelled {
-                        stopping.give(&j.spec.room);
-                    }
-                }
+            if let Some(u) = v.used.get(id) {
+                free.take(u);
+            }
+            if let Some(f) = s.freed.get(id) {
+                free.give(f);
             }
             Some(Spot {
                 id: id.clone(),
                 host,
+                session: open.session,
+                mine: open.mine,
+                booting: s.forecast && host.state == HostState::Booting,
                 free,
-                stopping,
                 whole,
+                images: v.images.get(id),
+                soft: None,
                 elsewhere,
             })
         })
         .collect();
     let mut usage: HashMap<&str, Usage> = HashMap::new();
     let mut demand: HashMap<&str, Usage> = HashMap::new();
+    // Leave whole machines with GPUs to those who need them: others get only what is beside that.
+    let mut gpu_need = Room::default();
     for j in v.jobs.values() {
         let team: &str = &j.spec.team;
-        let u = usage.entry(team).or_insert(Usage { cpus: 0, gpus: 0 });
-        u.cpus += j.spec.room.cpus * i64::from(j.placed);
-        u.gpus += j.spec.room.gpus * i64::from(j.placed);
-        let d = demand.entry(team).or_insert(Usage { cpus: 0, gpus: 0 });
-        d.cpus += j.spec.room.cpus * i64::from(j.placed + j.waiting);
-        d.gpus += j.spec.room.gpus * i64::from(j.placed + j.waiting);
+        let r = &j.spec.room;
+        for (m, n) in [(&mut usage, j.placed), (&mut demand, j.placed + j.waiting)] {
+            let u = m.entry(team).or_insert(Usage { cpus: 0, gpus: 0 });
+            u.cpus += r.cpus * i64::from(n);
+            u.gpus += r.gpus * i64::from(n);
+        }
+        if r.gpus > 0 {
+            gpu_need = Room {
+                cpus: gpu_need.cpus.max(r.cpus),
+                gpus: gpu_need.gpus.max(r.gpus),
+                memory: gpu_need.memory.max(r.memory),
+            };
+        }
     }
     let guarantee = |team: &str| s.teams.iter().find(|t| t.name == team);
     let entitled = |team: &str| {
@@ -161,36 +227,31 @@
                     .is_some_and(|d| d.cpus <= t.cpus && d.gpus <= t.gpus)
         })
     };
-    // Leave whole machines with GPUs to those who need them: others get only what is beside that.
-    let gpu_need = v
-        .jobs
-        .values()
-        .filter(|j| j.spec.room.gpus > 0)
-        .map(|j| j.spec.room)
-        .fold(Room::default(), |a, r| Room {
-            cpus: a.cpus.max(r.cpus),
-            gpus: a.gpus.max(r.gpus),
-            memory: a.memory.max(r.memory),
-        });
+    if !s.forecast {
+        tidy(s, &mut out.intents);
+    }
     let mut queue: Vec<Entry<'_>> = Vec::new();
     for (id, job) in &v.jobs {
-        if job.spec.cancelled {
-            continue;
-        }
-        tidy(v, id, job, s.forecast, &mut out.intents);
-        if job.waiting == 0 || (!s.forecast && (s.held_back)(id)) {
+        let kind = job.spec.kind;
+        if job.waiting == 0
+            || job.spec.cancelled
+            || (kind == Shape::Gang && !s.gangs)
+            || (kind == Shape::Array && !s.arrays)
+            || (!s.forecast && (s.held_back)(id))
+        {
             continue;
         }
         let entitled = entitled(&job.spec.team);
         let turn = turn(s, job);
+        let home = kind == Shape::Gang || (s.home)(id);
         let waiting = job.waiting as usize;
         let (n, p) = v.raises.jobs.get(&**id).copied().unwrap_or((0, 0));
-        let n = if job.spec.kind == Shape::Gang && n > 0 {
+        let n = if kind == Shape::Gang && n > 0 {
             waiting
         } else {
             (n as usize).min(waiting)
         };
-        let mut push = |from, count, raised| {
+        for (from, count, raised) in [(0, n, p), (n, waiting - n, 0)] {
             if count > 0 {
                 queue.push(Entry {
                     id,
@@ -199,32 +260,33 @@
                     from,
                     count,
                     entitled,
+                    home,
                     turn,
                 });
             }
-        };
-        push(0, n, p);
-        push(n, waiting - n, 0);
+        }
     }
     queue.sort_by(|a, b| {
         (!a.entitled, a.job.spec.rank)
             .cmp(&(!b.entitled, b.job.spec.rank))
             .then(a.turn.0.cmp(&b.turn.0))
+            .then(b.home.cmp(&a.home))
             .then((b.raised > 0).cmp(&(a.raised > 0)))
             .then(a.turn.cmp(&b.turn))
             .then(a.job.spec.submitted.cmp(&b.job.spec.submitted))
             .then(a.id.cmp(b.id))
     });
     let mut reserved = false;
-    let mut victims: HashMap<(JobId, u32), ()> = HashMap::new();
+    // Kinds of tasks for which no machine had room: room only becomes less.
+    let mut full: HashSet<Kind<'_>> = HashSet::new();
+    let mut stuck: HashSet<(Kind<'_>, Rank)> = HashSet::new();
     for e in &queue {
         let spec = &e.job.spec;
-        let team = guarantee(&spec.team);
         let used = usage
             .get(spec.team.as_str())
             .map_or((0, 0), |u| (u.cpus, u.gpus));
         let mut headroom = i64::MAX;
-        if let Some(t) = team {
+        if let Some(t) = guarantee(&spec.team) {
             for (max, used, need) in [
                 (t.cpus_max, used.0, spec.room.cpus),
                 (t.gpus_max, used.1, spec.room.gpus),
@@ -234,32 +296,14 @@
                 }
             }
         }
-        let waiting: Vec<u32> = e
-            .job
-            .slots()
-            .filter(|(_, x)| matches!(x, Slot::Waiting(_)))
-            .map(|(i, _)| i)
-            .skip(e.from)
-            .take(e.count.min(PER_JOB))
-            .collect();
-        let mut zones: HashMap<&str, u32> = HashMap::new();
-        for (_, p) in e.job.placements() {
-            if let Some(h) = v.hosts.get(&p.host) {
-                *zones.entry(h.zone.as_str()).or_default() += 1;
-            }
-        }
-        let mut got: Vec<(u32, Rc<str>, u64)> = Vec::new();
+        let mut got: Vec<Target> = Vec::new();
         let mut missing = 0u32;
         if spec.kind == Shape::Gang {
-            if e.job.waiting != spec.tasks {
-                // Part of the old attempt is still on its machines.
-                continue;
-            }
-            if i64::from(spec.tasks) <= headroom {
-                got = gang(v, spec, &spots, &gpu_need, &waiting);
-            } else {
+            // While part of the old attempt is still on its machines, nothing starts.
+            if e.job.waiting != spec.tasks || i64::from(spec.tasks) > headroom {
                 continue;
             }
+            got = gang(spec, &spots, &gpu_need);
             if got.is_empty() {
                 missing = spec.tasks;
                 if !reserved && s.wall.saturating_sub(spec.submitted) > GANG_PATIENCE {
@@ -272,63 +316,78 @@
                     }
                 }
             }
-            for (_, h, _) in &got {
-                if let Some(sp) = spots.iter_mut().find(|x| x.id == *h) {
+            let by: HashMap<Rc<str>, i64> = got.iter().fold(HashMap::new(), |mut m, t| {
+                *m.entry(t.1.clone()).or_default() += 1;
+                m
+            });
+            for sp in spots.iter_mut() {
+                for _ in 0..by.get(&sp.id).copied().unwrap_or(0) {
                     sp.free.take(&spec.room);
                 }
             }
-        } else {
-            for i in &waiting {
-                if headroom <= 0 {
-                    break;
-                }
-                let choice = best(v, spec, &spots, &zones, &gpu_need);
-                // A service starts sooner where lower work makes way beside its image than where
-                // the image has to be fetched first.
-                let cold = |k: usize| !warm(v, spec, &spots[k]);
-                if !s.forecast
-                    && spec.kind == Shape::Service
-                    && spec.rank <= Rank::High
-                    && choice.is_none_or(cold)
-                    && make_room(
-                        v,
-                        e,
-                        &mut spots,
-                        &zones,
-                        &gpu_need,
-                        true,
-                        &mut victims,
-                        &mut out,
-                    )
-                {
-                    continue;
-                }
-                match choice {
-                    Some(k) => {
-                        let sp = &mut spots[k];
-                        sp.free.take(&spec.room);
-                        *zones.entry(sp.host.zone.as_str()).or_default() += 1;
-                        got.push((*i, sp.id.clone(), sp.host.session));
-                        headroom -= 1;
+        } else if headroom > 0 {
+            let zoned = spec.one_zone || spec.spread;
+            let kind = kind_of(spec);
+            let blocked = !zoned && full.contains(&kind);
+            let pushes = !s.forecast
+                && (e.home || s.wall.saturating_sub(spec.submitted) > OTHERS_PUSH)
+                && (spec.rank <= Rank::High || e.entitled);
+            if blocked && (!pushes || stuck.contains(&(kind, spec.rank))) {
+                missing = e.count as u32;
+            } else {
+                let waiting: Vec<u32> = e
+                    .job
+                    .slots()
+                    .filter(|(_, x)| matches!(x, Slot::Waiting(_)))
+                    .map(|(i, _)| i)
+                    .skip(e.from)
+                    .take(e.count.min(PER_JOB))
+                    .take(usize::try_from(headroom).unwrap_or(usize::MAX))
+                    .collect();
+                let count = waiting.len();
+                let mut rest = count;
+                let mut run = Run {
+                    spec,
+                    gpu_need: &gpu_need,
+                    zones: zones(v, e.job),
+                    waiting,
+                    got: Vec::new(),
+                };
+                if zoned {
+                    while rest > 0 && run.one(&mut spots) {
+                        rest -= 1;
                     }
-                    None => {
-                        missing += 1;
-                        if !s.forecast && (spec.rank <= Rank::High || e.entitled) {
-                            make_room(
-                                v,
-                                e,
-                                &mut spots,
-                                &zones,
-                                &gpu_need,
-                                false,
-                                &mut victims,
-                                &mut out,
-                            );
+                } else {
+                    let order = run.candidates(&spots);
+                    if order.is_empty() {
+                        full.insert(kind);
+                    }
+                    // A service starts sooner where lower work makes way beside its image than
+                    // where the image has to be fetched first.
+                    let prefers = pushes && spec.kind == Shape::Service;
+                    let cold = order
+                        .iter()
+                        .position(|(_, k)| !warm(spec, &spots[*k]))
+                        .filter(|_| prefers)
+                        .unwrap_or(order.len());
+                    rest -= run.fill(&mut spots, &order[..cold], rest);
+                    while prefers && rest > 0 && make_room(v, &run, &mut spots, true, &mut out) {
+                        rest -= 1;
+                    }
+                    rest -= run.fill(&mut spots, &order[cold..], rest);
+                }
+                missing = rest as u32 + (e.count - count) as u32;
+                while pushes && rest > 0 {
+                    if !make_room(v, &run, &mut spots, false, &mut out) {
+                        if !zoned {
+                            stuck.insert((kind, spec.rank));
                         }
+                        break;
                     }
+                    rest -= 1;
                 }
+                got = run.got;
             }
-            missing += (e.count - waiting.len()) as u32;
         }
         if !got.is_empty() {
             let u = usage
@@ -337,7 +396,10 @@
             u.cpus += spec.room.cpus * got.len() as i64;
             u.gpus += spec.room.gpus * got.len() as i64;
             if !s.forecast {
-                split(e.id, spec.kind, got, &mut out.intents);
+                out.intents.push(Intent::Place {
+                    job: e.id.clone(),
+                    tasks: got,
+                });
             }
         }
         if missing > 0 && headroom > 0 {
@@ -348,60 +410,139 @@
     out
 }
 
-/// One intent per machine for independent tasks, one for a whole gang.
-fn split(job: &JobId, kind: Shape, got: Vec<Target>, out: &mut Vec<Intent>) {
-    if kind == Shape::Gang {
-        out.push(Intent::Place {
-            job: job.clone(),
-            tasks: got,
-        });
-        return;
+/// How many tasks of a job are in each zone; only asked for jobs to which it matters.
+fn zones<'a>(v: &'a View, job: &Job) -> HashMap<&'a str, u32> {
+    let mut zones = HashMap::new();
+    if job.spec.one_zone || job.spec.spread {
+        for (_, p) in job.placements() {
+            if let Some(h) = v.hosts.get(&p.host) {
+                *zones.entry(h.zone.as_str()).or_default() += 1;
+            }
+        }
     }
-    let mut by: BTreeMap<Rc<str>, Vec<Target>> = BTreeMap::new();
-    for t in got {
-        by.entry(t.1.clone()).or_default().push(t);
+    zones
+}
+
+/// Equal tasks of one job looking for machines.
+struct Run<'a> {
+    spec: &'a Spec,
+    gpu_need: &'a Room,
+    zones: HashMap<&'a str, u32>,
+    waiting: Vec<u32>,
+    got: Vec<Target>,
+}
+
+impl<'a> Run<'a> {
+    fn suits(&self, sp: &Spot<'_>) -> bool {
+        sp.mine && sp.free.cpus >= self.spec.room.cpus && allowed(self.spec, sp.host)
     }
-    for tasks in by.into_values() {
-        out.push(Intent::Place {
-            job: job.clone(),
-            tasks,
-        });
+
+    /// Machines with room, best first. Filling the best one keeps it the best while it has room:
+    /// less free room is better, and nothing else in the score becomes worse.
+    fn candidates(&self, spots: &[Spot<'_>]) -> Vec<((i64, i64), usize)> {
+        let mut list: Vec<((i64, i64), usize)> = spots
+            .iter()
+            .enumerate()
+            .filter(|(_, sp)| {
+                self.suits(sp) && offer(self.spec, sp, self.gpu_need).fits(&self.spec.room)
+            })
+            .map(|(k, sp)| (score(self.spec, sp), k))
+            .collect();
+        list.sort_unstable();
+        list
     }
-}
 
-/// Stops what must not go on: gangs that lost a task, tasks on machines about to be taken.
-fn tidy(v: &View, id: &JobId, job: &Job, forecast: bool, out: &mut Vec<Intent>) {
-    if forecast || job.placed == 0 {
-        return;
+    /// Places up to `n` tasks in this order and tells how many.
+    fn fill(&mut self, spots: &mut [Spot<'_>], order: &[((i64, i64), usize)], n: usize) -> usize {
+        let mut placed = 0;
+        for (_, k) in order {
+            let sp = &mut spots[*k];
+            while placed < n && offer(self.spec, sp, self.gpu_need).fits(&self.spec.room) {
+                self.take(sp);
+                placed += 1;
+            }
+        }
+        placed
     }
-    let spec = &job.spec;
-    let gang = spec.kind == Shape::Gang;
+
+    /// Places one task of a job whose zones matter.
+    fn one(&mut self, spots: &mut [Spot<'a>]) -> bool {
+        let best = spots
+            .iter()
+            .enumerate()
+            .filter(|(_, sp)| {
+                self.suits(sp)
+                    && offer(self.spec, sp, self.gpu_need).fits(&self.spec.room)
+                    && zone_ok(self.spec, &self.zones, &sp.host.zone)
+            })
+            .min_by_key(|(k, sp)| (score(self.spec, sp), *k))
+            .map(|(k, _)| k);
+        let Some(k) = best else { return false };
+        let zone: &'a str = &spots[k].host.zone;
+        *self.zones.entry(zone).or_default() += 1;
+        self.take(&mut spots[k]);
+        true
+    }
+
+    fn take(&mut self, sp: &mut Spot<'_>) {
+        sp.free.take(&self.spec.room);
+        let i = self.waiting[self.got.len()];
+        self.got.push((i, sp.id.clone(), sp.session));
+    }
+}
+
+/// Stops what must not go on: gangs that lost a task, tasks on machines about to be taken. Gangs are
+/// stopped by the one who places them, with one write, others by the owner of their machine.
+fn tidy(s: &Scene<'_>, out: &mut Vec<Intent>) {
+    let v = s.view;
     let draining = |h: &Rc<str>| {
         v.hosts
             .get(h)
             .is_some_and(|h| h.state == HostState::Draining)
     };
-    let broken = gang && job.waiting > 0;
-    let leave = gang && job.placements().any(|(_, p)| draining(&p.host));
-    for (index, p) in job.placements() {
-        let grace = if broken {
-            Some(0)
-        } else if leave || (draining(&p.host) && !gang && spec.checkpoint > 0) {
-            Some(spec.save)
-        } else if draining(&p.host) && spec.kind == Shape::Service {
-            Some(0)
-        } else {
-            None
-        };
-        if let Some(grace) = grace
-            && p.stop.is_none_or(|g| broken && g > grace)
-        {
-            out.push(Intent::Stop {
-                job: id.clone(),
-                index,
-                attempt: p.attempt,
-                grace,
-            });
+    if s.gangs {
+        for (id, job) in &v.jobs {
+            if job.placed == 0 || job.spec.kind != Shape::Gang || job.spec.cancelled {
+                continue;
+            }
+            let broken = job.waiting > 0;
+            if !broken && !job.placements().any(|(_, p)| draining(&p.host)) {
+                continue;
+            }
+            let grace = if broken { 0 } else { job.spec.save };
+            for (index, p) in job.placements() {
+                if p.stop.is_none_or(|g| broken && g > grace) {
+                    out.push(Intent::Stop {
+                        job: id.clone(),
+                        index,
+                        attempt: p.attempt,
+                        grace,
+                    });
+                }
+            }
+        }
+    }
+    for (host, h) in &v.hosts {
+        if h.state != HostState::Draining || !(s.mine)(host) {
+            continue;
+        }
+        for ((id, index), p) in v.tasks_on(host).into_iter().flatten() {
+            let Some(j) = v.jobs.get(id).filter(|j| !j.spec.cancelled) else {
+                continue;
+            };
+            let grace = match j.spec.kind {
+                Shape::Array if j.spec.checkpoint > 0 => j.spec.save,
+                Shape::Service => 0,
+                _ => continue,
+            };
+            if p.stop.is_none() {
+                out.push(Intent::Stop {
+                    job: id.clone(),
+                    index: *index,
+                    attempt: p.attempt,
+                    grace,
+                });
+            }
         }
     }
 }
@@ -450,22 +591,20 @@
 }
 
 /// Whether the machine has probably cached the job's image.
-fn warm(v: &View, spec: &Spec, sp: &Spot<'_>) -> bool {
-    v.images
-        .get(&sp.id)
-        .is_some_and(|i| i.contains(&spec.image))
+fn warm(spec: &Spec, sp: &Spot<'_>) -> bool {
+    sp.images.is_some_and(|i| i.contains(&spec.image))
 }
 
 /// Smaller is better.
-fn score(v: &View, spec: &Spec, sp: &Spot<'_>) -> (i64, i64) {
+fn score(spec: &Spec, sp: &Spot<'_>) -> (i64, i64) {
     let mut cost = 0;
     if sp.whole.gpus > 0 && spec.room.gpus == 0 {
         cost += 4;
     }
-    if sp.host.state == HostState::Booting {
+    if sp.booting {
         cost += 8;
     }
-    if !warm(v, spec, sp) {
+    if !warm(spec, sp) {
         cost += 2;
     }
     if spec.spot && !sp.host.spot {
@@ -479,37 +618,16 @@
     (cost, sp.free.cpus)
 }
 
-fn best(
-    v: &View,
-    spec: &Spec,
-    spots: &[Spot<'_>],
-    zones: &HashMap<&str, u32>,
-    gpu_need: &Room,
-) -> Option<usize> {
-    spots
+fn gang(spec: &Spec, spots: &[Spot<'_>], gpu_need: &Room) -> Vec<Target> {
+    let mut order: Vec<&Spot<'_>> = spots
         .iter()
-        .enumerate()
-        .filter(|(_, sp)| {
-            allowed(spec, sp.host)
+        .filter(|sp| {
+            sp.free.fits(&spec.room)
+                && allowed(spec, sp.host)
                 && offer(spec, sp, gpu_need).fits(&spec.room)
-                && zone_ok(spec, zones, &sp.host.zone)
         })
-        .min_by_key(|(_, sp)| score(v, spec, sp))
-        .map(|(k, _)| k)
-}
-
-fn gang(
-    v: &View,
-    spec: &Spec,
-    spots: &[Spot<'_>],
-    gpu_need: &Room,
-    waiting: &[u32],
-) -> Vec<(u32, Rc<str>, u64)> {
-    let mut order: Vec<&Spot<'_>> = spots
-        .iter()
-        .filter(|sp| allowed(spec, sp.host) && offer(spec, sp, gpu_need).fits(&spec.room))
         .collect();
-    order.sort_by_key(|sp| score(v, spec, sp));
+    order.sort_by_key(|sp| score(spec, sp));
     let mut zones: Vec<&str> = order.iter().map(|s| s.host.zone.as_str()).collect();
     zones.sort_unstable();
     zones.dedup();
@@ -519,14 +637,14 @@
         vec![None]
     };
     for only in tries {
-        let mut got = Vec::new();
+        let mut got: Vec<Target> = Vec::new();
         let mut per_zone: HashMap<&str, u32> = HashMap::new();
         for sp in &order {
             if only.is_some_and(|z| z != sp.host.zone) {
                 continue;
             }
             for _ in 0..offer(spec, sp, gpu_need).times(&spec.room) {
-                if got.len() == waiting.len() {
+                if got.len() == spec.tasks as usize {
                     break;
                 }
                 let n = per_zone.entry(sp.host.zone.as_str()).or_default();
@@ -534,7 +652,7 @@
                     break;
                 }
                 *n += 1;
-                got.push((waiting[got.len()], sp.id.clone(), sp.host.session));
+                got.push((got.len() as u32, sp.id.clone(), sp.session));
             }
         }
         if got.len() == spec.tasks as usize {
@@ -544,80 +662,94 @@
     Vec::new()
 }
 
+/// What lower work on a machine could make way.
+fn soft(v: &View, spec: &Spec, sp: &Spot<'_>) -> Soft {
+    let mut s = Soft {
+        stopping: Room::default(),
+        sum: Room::default(),
+        victims: Vec::new(),
+    };
+    for ((id, i), p) in v.tasks_on(&sp.id).into_iter().flatten() {
+        let Some(j) = v.jobs.get(id) else { continue };
+        if p.stop.is_some() || j.spec.cancelled {
+            s.stopping.give(&j.spec.room);
+        } else if j.spec.rank > spec.rank
+            && j.spec.rank >= Rank::Normal
+            && j.spec.kind == Shape::Array
+        {
+            // Cheapest first: what saves, and what ranks lowest.
+            let cost =
+                i64::from(j.spec.checkpoint == 0) * 2 + i64::from(j.spec.rank == Rank::Normal);
+            s.sum.give(&j.spec.room);
+            s.victims
+                .push((cost, (id.clone(), *i, p.attempt, j.spec.room)));
+        }
+    }
+    s.victims.sort_by_key(|x| x.0);
+    s
+}
+
 /// Stops lower work on one machine so that one more task fits there. False if none can.
-#[allow(clippy::too_many_arguments)]
 fn make_room(
     v: &View,
-    e: &Entry<'_>,
+    run: &Run<'_>,
     spots: &mut [Spot<'_>],
-    zones: &HashMap<&str, u32>,
-    gpu_need: &Room,
     only_warm: bool,
-    victims: &mut HashMap<(JobId, u32), ()>,
     out: &mut Plan,
 ) -> bool {
-    let spec = &e.job.spec;
-    let fits = |sp: &Spot<'_>| {
-        allowed(spec, sp.host)
-            && zone_ok(spec, zones, &sp.host.zone)
-            && (!only_warm || warm(v, spec, sp))
-    };
-    // Room that is on its way already.
-    for sp in spots.iter_mut() {
-        if fits(sp) {
-            let mut soon = offer(spec, sp, gpu_need);
-            soon.give(&sp.stopping);
-            if soon.fits(&spec.room) {
-                sp.free.take(&spec.room);
-                return true;
-            }
-        }
-    }
-    let mut pick: Option<(i64, usize, Vec<Victim>)> = None;
-    for (k, sp) in spots.iter().enumerate() {
-        if !fits(sp) {
+    let spec = run.spec;
+    let mut pick: Option<(i64, usize, usize)> = None;
+    for (k, sp) in spots.iter_mut().enumerate() {
+        if !sp.mine
+            || !allowed(spec, sp.host)
+            || !zone_ok(spec, &run.zones, &sp.host.zone)
+            || (only_warm && !warm(spec, sp))
+        {
             continue;
         }
-        let mut soon = offer(spec, sp, gpu_need);
-        soon.give(&sp.stopping);
-        let mut list: Vec<(i64, JobId, u32, u32, Room, Micros)> = Vec::new();
-        for ((id, i), p) in v.tasks_on(&sp.id).into_iter().flatten() {
-            let Some(j) = v.jobs.get(id) else { continue };
-            let lower = j.spec.rank > spec.rank && j.spec.rank >= Rank::Normal;
-            if !lower
-                || p.stop.is_some()
-                || j.spec.kind != Shape::Array
-                || victims.contains_key(&(id.clone(), *i))
-            {
-                continue;
-            }
-            // Cheapest first: what saves, and what ranks lowest.
-            let cost =
-                i64::from(j.spec.checkpoint == 0) * 2 + i64::from(j.spec.rank == Rank::Normal);
-            list.push((cost, id.clone(), *i, p.attempt, j.spec.room, j.spec.save));
+        if sp.soft.is_none() {
+            sp.soft = Some(soft(v, spec, sp));
+        }
+        let offer = offer(spec, sp, run.gpu_need);
+        let Some(s) = &sp.soft else { continue };
+        let mut soon = offer;
+        soon.give(&s.stopping);
+        if soon.fits(&spec.room) {
+            // Room that is on its way already.
+            sp.free.take(&spec.room);
+            return true;
+        }
+        let mut most = soon;
+        most.give(&s.sum);
+        if !most.fits(&spec.room) {
+            continue;
         }
-        list.sort_by_key(|x| x.0);
-        let mut chosen = Vec::new();
         let mut cost = 0;
-        for (c, id, i, a, room, save) in list {
+        let mut n = 0;
+        for (c, (id, _, _, room)) in &s.victims {
             if soon.fits(&spec.room) {
                 break;
             }
-            soon.give(&room);
+            // Found out for a higher job: this one may not push all of them.
+            if v.jobs.get(id).is_none_or(|j| j.spec.rank <= spec.rank) {
+                break;
+            }
+            soon.give(room);
             cost += c + 1;
-            chosen.push((id, i, a, room, save));
+            n += 1;
         }
-        if soon.fits(&spec.room) && pick.as_ref().is_none_or(|(c, _, _)| cost < *c) {
-            pick = Some((cost, k, chosen));
+        if soon.fits(&spec.room) && pick.is_none_or(|(c, _, _)| cost < c) {
+            pick = Some((cost, k, n));
         }
     }
-    let Some((_, k, chosen)) = pick else {
+    let Some((_, k, n)) = pick else {
         return false;
     };
-    {
-        for (id, i, attempt, room, _) in chosen {
-            spots[k].stopping.give(&room);
-            victims.insert((id.clone(), i), ());
+    let sp = &mut spots[k];
+    if let Some(s) = &mut sp.soft {
+        for (_, (id, i, attempt, room)) in s.victims.drain(..n) {
+            s.stopping.give(&room);
+            s.sum.take(&room);
             // No grace: a service waits for this room, and checkpoints are kept anyway.
             out.intents.push(Intent::Stop {
                 job: id,
@@ -626,7 +758,7 @@
                 grace: 0,
             });
         }
-        spots[k].free.take(&spec.room);
     }
+    sp.free.take(&spec.room);
     true
 }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -30,7 +30,7 @@
     pub finish_share: f64,
     /// The same for an aim at starting.
     pub wait_share: f64,
-    /// At most so many machines.
+    /// At most so many machines; without it the cloud's capacity is the bound.
     pub max_machines: u64,
 }
 
@@ -48,7 +48,7 @@
             drain_low: 90 * SECOND,
             finish_share: 0.5,
             wait_share: 0.6,
-            max_machines: 500,
+            max_machines: u64::MAX,
         }
     }
 }
--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -59,6 +59,16 @@
             (-self.level / self.rate * 1e6) as Micros + MILLI
         }
     }
+    /// What could be taken without waiting; negative while others wait.
+    pub fn level(&mut self, now: Micros) -> f64 {
+        self.fill(now);
+        self.level
+    }
+    /// Another rate from now on.
+    pub fn set_rate(&mut self, rate: f64, now: Micros) {
+        self.fill(now);
+        self.rate = rate;
+    }
     /// How long one more would have to wait.
     pub fn queue(&mut self, now: Micros) -> Micros {
         self.fill(now);
@@ -119,6 +129,21 @@
         self.writes.borrow_mut().queue(now)
     }
 
+    /// Changes that could be written at once, and the most that this ever is.
+    pub fn write_level(&self) -> (f64, f64) {
+        let now = self.clock.now();
+        let mut w = self.writes.borrow_mut();
+        let level = w.level(now);
+        (level, w.rate.max(1.0))
+    }
+
+    /// Shares the limits among so many controllers.
+    pub fn share(&self, rps: f64, write_rps: f64) {
+        let now = self.clock.now();
+        self.requests.borrow_mut().set_rate(rps, now);
+        self.writes.borrow_mut().set_rate(write_rps, now);
+    }
+
     async fn call(
         &self,
         method: Method,
--- a/src/store/view.rs
+++ b/src/store/view.rs
@@ -3,8 +3,11 @@
 
 use crate::fairness::{Counts, Raises};
 use crate::hosts::model::{Charter, Host};
-use crate::jobs::model::{BLOCK, Block, Final, JobId, Placement, Slot, Spec, blocks, fresh};
+use crate::jobs::model::{
+    BLOCK, Block, Final, JobId, Placement, Record, Room, Slot, Spec, blocks, fresh,
+};
 use crate::members::{Leader, Member, Part};
+use crate::store::keys;
 use crate::wire::cloud::MachineType;
 use crate::wire::from_value;
 use ciborium::Value;
@@ -66,7 +69,8 @@
     pub parts: BTreeMap<u32, Part>,
     /// Unfinished jobs.
     pub jobs: BTreeMap<JobId, Job>,
-    raw_blocks: HashMap<JobId, BTreeMap<u32, Block>>,
+    /// Block keys that exist; with their slots only while the job itself is not known.
+    raw_blocks: HashMap<JobId, BTreeMap<u32, Option<Block>>>,
     /// Machines.
     pub hosts: BTreeMap<Rc<str>, Host>,
     /// Rentals under way.
@@ -81,6 +85,12 @@
     final_order: VecDeque<JobId>,
     /// Tasks on each machine.
     pub on_host: BTreeMap<Rc<str>, BTreeMap<(JobId, u32), Placement>>,
+    /// What the tasks on each machine take together.
+    pub used: HashMap<Rc<str>, Room>,
+    /// Machines whose key or tasks changed since this was emptied last.
+    pub touched: HashSet<Rc<str>>,
+    /// Counts changes of machines' keys.
+    pub hosts_epoch: u64,
     /// Images each machine has probably cached.
     pub images: HashMap<Rc<str>, HashSet<String>>,
     /// Counts changes, so that loops know when to look again.
@@ -161,7 +171,11 @@
                     put(&mut self.parts, n, v);
                 }
             }
-            "charter" => put(&mut self.charters, id.to_string(), v),
+            "charter" => {
+                let old = self.charters.get(id).map(|c| c.names.clone());
+                put(&mut self.charters, id.to_string(), v);
+                self.derive_hosts(old.unwrap_or_default(), id);
+            }
             "counts" => put(&mut self.counts, id.to_string(), v),
             "raises" => self.raises = v.and_then(from_value).unwrap_or_default(),
             "types" => {
@@ -174,6 +188,8 @@
                 if v.is_none() {
                     self.images.remove(&id);
                 }
+                self.hosts_epoch += 1;
+                self.touched.insert(id.clone());
                 put(&mut self.hosts, id, v);
             }
             "final" => {
@@ -186,34 +202,13 @@
             }
             "job" => {
                 let id: JobId = id.into();
-                self.unindex(&id);
-                match v.and_then(from_value::<Spec>) {
-                    Some(spec) => {
-                        let spec = Rc::new(spec);
-                        let known = self.raw_blocks.get(&id);
-                        let list = (0..blocks(spec.tasks))
-                            .map(|n| {
-                                known
-                                    .and_then(|m| m.get(&n))
-                                    .cloned()
-                                    .unwrap_or_else(|| fresh(spec.tasks, n))
-                            })
-                            .collect();
-                        self.jobs.insert(
-                            id.clone(),
-                            Job {
-                                spec,
-                                blocks: list,
-                                waiting: 0,
-                                placed: 0,
-                                done: 0,
-                            },
-                        );
-                        self.index(&id);
-                    }
-                    None => {
-                        self.jobs.remove(&id);
+                match v.and_then(from_value::<Record>) {
+                    Some(Record(spec, first)) => {
+                        self.put_job(id.clone(), Rc::new(spec));
+                        let first = (!first.0.is_empty()).then_some(first);
+                        self.put_block(&id, 0, first);
                     }
+                    None => self.drop_job(&id),
                 }
             }
             "block" => {
@@ -224,64 +219,159 @@
                     return;
                 };
                 let b: Option<Block> = v.and_then(from_value);
-                self.unindex(&id);
-                if let Some(j) = self.jobs.get_mut(&id)
-                    && let Some(place) = j.blocks.get_mut(n as usize)
-                {
-                    *place = b.clone().unwrap_or_else(|| fresh(j.spec.tasks, n));
-                }
-                match b {
-                    Some(b) => {
-                        self.raw_blocks.entry(id.clone()).or_default().insert(n, b);
-                    }
-                    None => {
-                        if let Some(m) = self.raw_blocks.get_mut(&id) {
-                            m.remove(&n);
-                            if m.is_empty() {
-                                self.raw_blocks.remove(&id);
-                            }
+                let known = self.raw_blocks.entry(id.clone()).or_default();
+                match (&b, self.jobs.contains_key(&id)) {
+                    (None, _) => {
+                        known.remove(&n);
+                        if known.is_empty() {
+                            self.raw_blocks.remove(&id);
                         }
                     }
+                    (Some(_), true) => {
+                        known.insert(n, None);
+                    }
+                    (Some(b), false) => {
+                        known.insert(n, Some(b.clone()));
+                    }
                 }
-                self.index(&id);
+                self.put_block(&id, n, b);
             }
             _ => {}
         }
     }
 
-    fn unindex(&mut self, id: &JobId) {
-        if let Some(j) = self.jobs.get(id) {
-            for (i, p) in j.placements() {
-                if let Some(m) = self.on_host.get_mut(&p.host) {
-                    m.remove(&(id.clone(), i));
-                }
+    /// Machines that a charter names and that have no key yet stand in the view all the same: one
+    /// write makes many machines known. Once written, a machine's own key says everything.
+    fn derive_hosts(&mut self, old: Vec<String>, charter: &str) {
+        let (names, like) = match self.charters.get(charter) {
+            Some(c) => (c.names.clone(), Some(c.host())),
+            None => (Vec::new(), None),
+        };
+        for n in old.iter().filter(|n| !names.contains(n)) {
+            if !self.stamps.contains_key(&keys::host(n)) {
+                self.hosts.remove(n.as_str());
+                self.hosts_epoch += 1;
+            }
+        }
+        for n in names {
+            let key = keys::host(&n);
+            if let Some(h) = &like
+                && !self.stamps.contains_key(&key)
+                && !self.tombs.contains_key(&key)
+            {
+                self.hosts.entry(n.into()).or_insert_with(|| h.clone());
+                self.hosts_epoch += 1;
+            }
+        }
+    }
+
+    /// A job's specification: its blocks stay as they are.
+    fn put_job(&mut self, id: JobId, spec: Rc<Spec>) {
+        if self
+            .jobs
+            .get(&id)
+            .is_some_and(|j| j.spec.tasks != spec.tasks || j.spec.room != spec.room)
+        {
+            self.drop_job(&id);
+        }
+        if let Some(j) = self.jobs.get_mut(&id) {
+            j.spec = spec;
+            let hosts: Vec<Rc<str>> = j.placements().map(|(_, p)| p.host.clone()).collect();
+            self.touched.extend(hosts);
+            return;
+        }
+        let tasks = spec.tasks;
+        self.jobs.insert(
+            id.clone(),
+            Job {
+                spec,
+                blocks: (0..blocks(tasks)).map(|n| fresh(tasks, n)).collect(),
+                waiting: tasks,
+                placed: 0,
+                done: 0,
+            },
+        );
+        let known: Vec<(u32, Block)> = self
+            .raw_blocks
+            .get_mut(&id)
+            .into_iter()
+            .flatten()
+            .filter_map(|(n, b)| Some((*n, b.take()?)))
+            .collect();
+        for (n, b) in known {
+            self.put_block(&id, n, Some(b));
+        }
+    }
+
+    fn drop_job(&mut self, id: &JobId) {
+        for n in 0..self.jobs.get(id).map_or(0, |j| j.blocks.len() as u32) {
+            let written = self.raw_blocks.get(id).is_some_and(|m| m.contains_key(&n));
+            let old = written
+                .then(|| self.jobs.get(id)?.blocks.get(n as usize).cloned())
+                .flatten();
+            self.put_block(id, n, None);
+            if let (Some(old), Some(m)) = (old, self.raw_blocks.get_mut(id)) {
+                m.insert(n, Some(old));
             }
         }
+        self.jobs.remove(id);
     }
 
-    fn index(&mut self, id: &JobId) {
+    /// Sets a job's block and follows the slots that differ: the cost is that of the change.
+    fn put_block(&mut self, id: &JobId, n: u32, b: Option<Block>) {
         let Some(j) = self.jobs.get_mut(id) else {
             return;
         };
-        let (mut w, mut p, mut d) = (0, 0, 0);
-        for (i, s) in j.blocks.iter().flat_map(|b| b.0.iter()).enumerate() {
-            match s {
-                Slot::Waiting(_) => w += 1,
-                Slot::Done => d += 1,
-                Slot::Placed(pl) => {
-                    p += 1;
+        let tasks = j.spec.tasks;
+        let Some(place) = j.blocks.get_mut(n as usize) else {
+            return;
+        };
+        let old = std::mem::replace(place, b.unwrap_or_else(|| fresh(tasks, n)));
+        let room = j.spec.room;
+        let longest = old.0.len().max(place.0.len());
+        for k in 0..longest {
+            let (was, is) = (old.0.get(k), place.0.get(k));
+            if was == is {
+                continue;
+            }
+            let i = n * BLOCK + k as u32;
+            match was {
+                Some(Slot::Waiting(_)) => j.waiting -= 1,
+                Some(Slot::Done) => j.done -= 1,
+                Some(Slot::Placed(p)) => {
+                    j.placed -= 1;
+                    self.touched.insert(p.host.clone());
+                    if let Some(m) = self.on_host.get_mut(&p.host) {
+                        m.remove(&(id.clone(), i));
+                        if m.is_empty() {
+                            self.on_host.remove(&p.host);
+                            self.used.remove(&p.host);
+                        } else {
+                            self.used.entry(p.host.clone()).or_default().take(&room);
+                        }
+                    }
+                }
+                None => {}
+            }
+            match is {
+                Some(Slot::Waiting(_)) => j.waiting += 1,
+                Some(Slot::Done) => j.done += 1,
+                Some(Slot::Placed(p)) => {
+                    j.placed += 1;
+                    self.touched.insert(p.host.clone());
                     self.on_host
-                        .entry(pl.host.clone())
+                        .entry(p.host.clone())
                         .or_default()
-                        .insert((id.clone(), i as u32), pl.clone());
-                    let im = self.images.entry(pl.host.clone()).or_default();
+                        .insert((id.clone(), i), p.clone());
+                    self.used.entry(p.host.clone()).or_default().give(&room);
+                    let im = self.images.entry(p.host.clone()).or_default();
                     if !im.contains(&j.spec.image) {
                         im.insert(j.spec.image.clone());
                     }
                 }
+                None => {}
             }
         }
-        (j.waiting, j.placed, j.done) = (w, p, d);
     }
 
     /// Keeps a final state at hand.
--- a/src/wire/user.rs
+++ b/src/wire/user.rs
@@ -65,7 +65,7 @@
 }
 
 /// Class ranks on the wire, highest first.
-#[derive(Clone, Copy, Debug, Deserialize, Serialize, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Deserialize, Serialize, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Rank {
     /// Production.
     #[serde(rename = "critical")]
--- a/src/workers/drive.rs
+++ b/src/workers/drive.rs
@@ -7,13 +7,14 @@
 use crate::store::client::Outcome;
 use crate::store::keys;
 use crate::store::view::View;
-use crate::time::{Micros, SECOND, wall};
+use crate::time::{Micros, SECOND, from_secs, wall};
 use crate::wire::server::Reply;
 use crate::wire::state::{Guard, Txn};
 use crate::wire::user::Shape;
 use crate::wire::worker::{ORDERS, Order, Orders, Redirect, Report};
 use crate::wire::{decode, encode};
 use http_types::Method;
+use std::collections::HashSet;
 use std::rc::Rc;
 
 /// Orders in one answer: it may hold 64 KiB.
@@ -27,8 +28,12 @@
 /// Machines with replicas are called when nothing was heard of them for so long, with little time
 /// to answer: a hung one is found in half the time that reports would take.
 const CALL: Micros = 4 * SECOND / 5;
+/// Calls a second that a whole core may spend on this: an eighth of it, at 0.3 ms each.
+const CALLS: f64 = 400.0;
 const CALL_LIMIT: Micros = 2 * SECOND / 5;
 
+/// That a machine is up is written at the latest after this.
+const UP_MAX: Micros = 10 * SECOND;
 /// The same direct order is not repeated sooner.
 const REPEAT: Micros = SECOND;
 /// A job whose tasks fail is tried again after this, doubled with each failure.
@@ -83,6 +88,7 @@
         let changed = news.changed;
         self.learn(&host, news, now);
         if changed || !view.hosts.contains_key(&host) {
+            self.dirty.borrow_mut().insert(host);
             self.wake();
         }
         Reply::with(
@@ -161,29 +167,26 @@
     }
 
     /// Keeps an entry for every machine of our parts, under the current term.
-    pub fn adopt_machines(&self, view: &View, now: Micros) {
+    pub fn adopt_machines(&self, view: &View, terms: &[Option<u64>], now: Micros) {
         let mut machines = self.machines.borrow_mut();
+        let term = |id: &str| terms[part_of(id) as usize];
         machines.retain(|id, m| {
-            self.term(view, part_of(id)) == Some(m.term)
+            term(id) == Some(m.term)
                 && (view.hosts.contains_key(id)
                     || view.tasks_on(id).is_some()
                     || now.saturating_sub(m.heard) < 60 * SECOND)
         });
-        for id in view.hosts.keys().chain(
-            view.on_host
-                .iter()
-                .filter(|(_, t)| !t.is_empty())
-                .map(|(h, _)| h),
-        ) {
+        for id in view.hosts.keys().chain(view.on_host.keys()) {
             if machines.contains_key(id) {
                 continue;
             }
-            if let Some(term) = self.term(view, part_of(id)) {
+            if let Some(term) = term(id) {
                 let mut m = Machine::new(term, now);
                 if let Some(h) = view.hosts.get(id) {
                     m.addr = h.addr.as_ref().and_then(|a| a.parse().ok());
                 }
                 machines.insert(id.clone(), m);
+                self.dirty.borrow_mut().insert(id.clone());
             }
         }
         let mut raise = self.raise.borrow_mut();
@@ -214,12 +217,18 @@
         alone: bool,
     ) -> Option<Host> {
         let Some(h) = have else {
-            // Unexpected machines are used: they are paid for.
+            // Unexpected machines are used: they are paid for. The leader finds them in the cloud's
+            // list, many with one write; this is for those that the list does not show.
             let (kind, zone, spot, addr) = m.about.clone()?;
             // A key that was deleted belonged to a machine that was returned and is gone, however
             // lately it was heard: written again, it would get tasks that never start.
             let returned = self.view.borrow().deleted(&keys::host(id));
-            if returned || !m.fenced() || now.saturating_sub(m.heard) > self.settings.report {
+            let known = m.fenced.is_some_and(|f| now.saturating_sub(f) > UP_MAX);
+            if returned
+                || !m.fenced()
+                || !known
+                || now.saturating_sub(m.heard) > self.settings.report
+            {
                 return None;
             }
             return Some(Host {
@@ -306,13 +315,28 @@
             let view = self.view.borrow();
             let alone = self.alone(&view, now);
             let machines = self.machines.borrow();
-
+            let (level, burst) = self.store.write_level();
+            let spare = level > burst / 2.0;
+            if level <= 0.0 {
+                return;
+            }
             let busy = self.busy_hosts.borrow();
             for (id, m) in machines.iter() {
                 if busy.contains(id) || t.then.len() >= self.settings.txn_ops {
                     continue;
                 }
-                if let Some(w) = self.wanted_host(id, m, view.hosts.get(id), now, alone) {
+                let have = view.hosts.get(id);
+                if let Some(w) = self.wanted_host(id, m, have, now, alone) {
+                    // That a machine is up its owner knows without a write; those who place gangs
+                    // on its machines do not. Otherwise it can wait until writes are to spare.
+                    let gpus = view
+                        .types
+                        .get(&w.kind)
+                        .is_some_and(|t| t.accelerators > 0.0);
+                    let fresh = m.fenced.is_some_and(|f| now.saturating_sub(f) < UP_MAX);
+                    if have.is_some() && w.state == HostState::Up && !gpus && fresh && !spare {
+                        continue;
+                    }
                     let part = keys::part(part_of(id));
                     put_host(&mut t, &view, id, &w);
                     if !t.guards.iter().any(|g| g.path == part) {
@@ -350,12 +374,21 @@
     }
 
     /// Sends direct orders where something is to do, and the bare token where it is not known yet.
-    pub fn drive(self: &Rc<Node>, now: Micros) {
+    /// `only`: these machines; all of them otherwise.
+    pub fn drive(self: &Rc<Node>, now: Micros, only: Option<&HashSet<Rc<str>>>) {
         let view = self.view.borrow();
         let mut machines = self.machines.borrow_mut();
         let heard = machines.values().map(|m| m.heard).max().unwrap_or(0);
-        for (id, m) in machines.iter_mut() {
-            let Some(h) = view.hosts.get(id) else {
+        if only.is_none() {
+            let n = machines.keys().filter(|id| replicas(&view, id)).count();
+            self.call_every.set(call_every(n, self.settings.core_share));
+        }
+        let all: Vec<Rc<str>> = match only {
+            Some(d) => d.iter().cloned().collect(),
+            None => machines.keys().cloned().collect(),
+        };
+        for id in &all {
+            let (Some(m), Some(h)) = (machines.get_mut(id), view.hosts.get(id)) else {
                 continue;
             };
             let Some(addr) = m.addr.filter(|_| !m.busy && now >= m.not_before) else {
@@ -366,16 +399,9 @@
             }
             let session = if m.session > 0 { m.session } else { h.session };
             let list = if m.fenced() {
-                let replicas = view.tasks_on(id).is_some_and(|t| {
-                    t.keys().any(|(j, _)| {
-                        view.jobs
-                            .get(j)
-                            .is_some_and(|j| j.spec.kind == Shape::Service)
-                    })
-                });
                 let silent = now.saturating_sub(m.heard);
                 let quiet = silent > self.settings.report * 5 / 4 + SECOND / 4;
-                let call = quiet || (replicas && silent > CALL);
+                let call = quiet || (silent > self.call_every.get() && replicas(&view, id));
                 let mut l = orders(&view, id, m, false);
                 if quiet || (m.probe_failed > 0 && now.saturating_sub(m.probe_failed) < UNSURE) {
                     // It may be gone. A start would only become one more that may run late; a
@@ -461,6 +487,25 @@
                 self.http.forget(addr);
             }
         }
+        self.dirty.borrow_mut().insert(id);
         self.wake();
     }
 }
+
+/// Whether replicas run on a machine.
+fn replicas(view: &View, id: &str) -> bool {
+    view.tasks_on(id).is_some_and(|t| {
+        t.keys().any(|(j, _)| {
+            view.jobs
+                .get(j)
+                .is_some_and(|j| j.spec.kind == Shape::Service)
+        })
+    })
+}
+
+/// After which silence machines with replicas are called: soon, but so that the calls take no more
+/// than a part of our processor time.
+fn call_every(machines: usize, core_share: f64) -> Micros {
+    let share = if core_share > 0.0 { core_share } else { 1.0 };
+    CALL.max(from_secs(machines as f64 / (share * CALLS)))
+}
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -511,7 +511,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::jobs::model::{Block, Room, Slot, Spec};
+    use crate::jobs::model::{Block, Record, Room, Slot, Spec};
     use crate::store::keys;
     use crate::wire::to_value;
     use crate::wire::user::Rank;
@@ -539,8 +539,8 @@
             submitted: 0,
             cancelled,
         };
-        v.put(&keys::job("req-1"), &to_value(&spec), 1);
-        v.put(&keys::block("req-1", 0), &to_value(&Block(vec![slot])), 2);
+        let job = Record(spec, Block(vec![slot]));
+        v.put(&keys::job("req-1"), &to_value(&job), 1);
         v
     }
 
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -2,9 +2,9 @@
 
 use coppergw::hosts::model::{Host, HostState};
 use coppergw::jobs::commit::{Intent, Limits, stage};
-use coppergw::jobs::model::{Room, Spec};
+use coppergw::jobs::model::{Block, Record, Room, Spec};
 use coppergw::members::{PARTS, Part};
-use coppergw::placement::{Scene, allowed, plan};
+use coppergw::placement::{Open, Scene, allowed, plan};
 use coppergw::settings::Team;
 use coppergw::store::keys;
 use coppergw::store::view::View;
@@ -106,6 +106,10 @@
         )
 }
 
+fn record(s: &Spec) -> ciborium::Value {
+    to_value(&Record(s.clone(), Block::default()))
+}
+
 fn scene_plan(v: &View) -> Vec<Intent> {
     let teams = teams();
     plan(&Scene {
@@ -113,8 +117,18 @@
         wall: 500 * SECOND,
         teams: &teams,
         objectives: &[],
-        responsive: &|_| true,
+        open: &|_, h| {
+            (h.state == HostState::Up).then_some(Open {
+                session: h.session,
+                mine: true,
+            })
+        },
+        freed: &HashMap::new(),
         held_back: &|_| false,
+        home: &|_| true,
+        mine: &|_| true,
+        gangs: true,
+        arrays: true,
         forecast: false,
     })
     .intents
@@ -187,7 +201,7 @@
             put(&mut v, &keys::host(&format!("m-{i:06}")), &to_value(h));
         }
         for (i, s) in specs.iter().enumerate() {
-            put(&mut v, &keys::job(&format!("req-{i}")), &to_value(s));
+            put(&mut v, &keys::job(&format!("req-{i}")), &record(s));
         }
         let limits = Limits { ops: 16, bytes: 48_000 };
         for _ in 0..4 {
@@ -253,7 +267,7 @@
             submitted: 1,
             cancelled: false,
         };
-        v.put(&keys::job("req-1"), &to_value(&base), 3);
+        v.put(&keys::job("req-1"), &record(&base), 3);
         let limits = Limits {
             ops: 16,
             bytes: 48_000,
@@ -271,7 +285,7 @@
             submitted: 2,
             ..base
         };
-        v.put(&keys::job("req-2"), &to_value(&service), 5);
+        v.put(&keys::job("req-2"), &record(&service), 5);
         scene_plan(&v)
     };
     let stops = build(Rank::Low);
@@ -330,7 +344,7 @@
         submitted: 1,
         cancelled: false,
     };
-    put(&mut v, keys::job("req-1"), to_value(&spec));
+    put(&mut v, keys::job("req-1"), record(&spec));
     let limits = Limits {
         ops: 16,
         bytes: 48_000,
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -4,9 +4,9 @@
 
 use coppergw::hosts::model::{Host, HostState};
 use coppergw::jobs::commit::{Intent, Limits, stage};
-use coppergw::jobs::model::{Block, JobId, Room, Slot, Spec};
+use coppergw::jobs::model::{Block, JobId, Record, Room, Slot, Spec};
 use coppergw::members::{Member, PARTS, Part, assign, part_of};
-use coppergw::placement::{Scene, plan};
+use coppergw::placement::{Open, Scene, plan};
 use coppergw::store::keys;
 use coppergw::store::view::View;
 use coppergw::time::{Micros, SECOND};
@@ -301,33 +301,55 @@
         let terms: Vec<Option<u64>> = (0..PARTS).map(|p| self.term(n, p)).collect();
         let node = &self.nodes[n];
         let mut intents = Vec::new();
+        let mut freed: HashMap<Rc<str>, Room> = HashMap::new();
         for (id, m) in &node.machines {
-            reconcile(&node.view, id, m, LEASE, self.now, &mut intents);
+            let mut lefts = Vec::new();
+            reconcile(&node.view, id, m, LEASE, self.now, &mut lefts);
+            for i in &lefts {
+                let room = node.view.jobs[i.job()].spec.room;
+                freed.entry(id.clone()).or_default().give(&room);
+            }
+            // Bookkeeping may wait: the room is used again before the exit is written.
+            if fate < 128 {
+                intents.extend(lefts);
+            }
         }
         for (id, j) in &node.view.jobs {
             if (j.spec.cancelled && j.placed == 0) || j.done == j.spec.tasks {
                 intents.push(Intent::Settle { job: id.clone() });
             }
         }
-        let responsive = |h: &str| {
-            node.machines
-                .get(h)
-                .is_none_or(|m| m.fenced() && self.now - m.heard < 6 * SECOND)
+        let open = |id: &Rc<str>, h: &Host| {
+            if h.state != HostState::Up {
+                return None;
+            }
+            match node.machines.get(id) {
+                Some(m) => (m.fenced() && self.now - m.heard < 6 * SECOND).then_some(Open {
+                    session: m.session,
+                    mine: true,
+                }),
+                None => Some(Open {
+                    session: h.session,
+                    mine: false,
+                }),
+            }
         };
-        let ours = |h: &str| terms[part_of(h) as usize].is_some();
+        let mine = |h: &str| terms[part_of(h) as usize].is_some();
         let p = plan(&Scene {
             view: &node.view,
             wall: self.now,
             teams: &[],
             objectives: &[],
-            responsive: &responsive,
+            open: &open,
+            freed: &freed,
             held_back: &|_| false,
+            home: &mine,
+            mine: &mine,
+            gangs: terms[0].is_some(),
+            arrays: true,
             forecast: false,
         });
-        intents.extend(p.intents.into_iter().filter(|i| match i {
-            Intent::Place { tasks, .. } => ours(&tasks[0].1),
-            _ => true,
-        }));
+        intents.extend(p.intents);
         let limits = Limits {
             ops: 16,
             bytes: 48_000,
@@ -662,16 +684,19 @@
                 if !b.is_multiple_of(4) || self.jobs == 0 {
                     let kind = [Shape::Array, Shape::Service, Shape::Array][a as usize % 3];
                     let s = spec(kind, 1 + u32::from(a % 3), self.now);
-                    self.store.put(keys::job(&format!("req-{}", self.jobs)), &s);
+                    self.store.put(
+                        keys::job(&format!("req-{}", self.jobs)),
+                        &Record(s, Block::default()),
+                    );
                     self.jobs += 1;
                 } else if let Some((v, stamp)) = self.store.keys.get(&key).cloned() {
-                    let mut s: Spec = v.deserialized().expect("spec");
+                    let Record(mut s, first): Record = v.deserialized().expect("job");
                     s.cancelled = true;
                     self.store.apply(&Txn {
                         guards: vec![Guard { path: key, stamp }],
                         then: vec![Change::Put {
                             put: keys::job(&job),
-                            v: to_value(&s),
+                            v: to_value(&Record(s, first)),
                             permit: None,
                         }],
                     });
@@ -684,9 +709,8 @@
     /// What is written as done was done; what ended stays ended.
     fn check(&mut self) {
         for (k, (v, _)) in &self.store.keys {
-            if let Some(rest) = k.strip_prefix("c/block/") {
-                let (job, _) = rest.split_once('/').expect("block key");
-                let b: Block = v.deserialized().expect("block");
+            if let Some(job) = k.strip_prefix("c/job/") {
+                let Record(_, b): Record = v.deserialized().expect("job");
                 for (i, s) in b.0.iter().enumerate() {
                     if *s == Slot::Done {
                         assert!(self.completed.contains(&format!("{job}/{i}")), "not_done");
@@ -709,17 +733,17 @@
     fn settle(&mut self) {
         self.late.clear();
         // Services would keep their room for ever.
-        let jobs: Vec<(String, Spec)> = self
+        let jobs: Vec<(String, Record)> = self
             .store
             .keys
             .iter()
             .filter(|(k, _)| k.starts_with("c/job/"))
-            .map(|(k, (v, _))| (k.clone(), v.deserialized().expect("spec")))
+            .map(|(k, (v, _))| (k.clone(), v.deserialized().expect("job")))
             .collect();
-        for (k, mut s) in jobs {
+        for (k, Record(mut s, first)) in jobs {
             if s.kind == Shape::Service {
                 s.cancelled = true;
-                self.store.put(k, &s);
+                self.store.put(k, &Record(s, first));
             }
         }
         for _ in 0..80 {
@@ -788,8 +812,10 @@
     for n in 0..NODES {
         w.sync(n);
     }
-    w.store
-        .put(keys::job("req-0"), &spec(Shape::Service, 1, w.now));
+    w.store.put(
+        keys::job("req-0"),
+        &Record(spec(Shape::Service, 1, w.now), Block::default()),
+    );
     w.jobs = 1;
     let run = |w: &mut World| {
         for n in 0..NODES {
@@ -842,7 +868,7 @@
     while !w.late.is_empty() {
         w.arrive(0);
     }
-    let (v, _) = w.store.keys.get("c/block/req-0/0").expect("block");
-    let b: Block = v.deserialized().expect("block");
+    let (v, _) = w.store.keys.get("c/job/req-0").expect("job");
+    let Record(_, b): Record = v.deserialized().expect("job");
     assert!(matches!(b.0[0], Slot::Placed(_)), "still placed: {b:?}");
 }
