--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -193,7 +193,7 @@
 }
 
 fn ask(node: SocketAddr, method: Method, path: &str, body: Option<Vec<u8>>) -> ExitCode {
-    let http = Client::default();
+    let http = Client::new(1);
     let res = async_io::block_on(http.call(node, method, path, body, 5 * SECOND));
     match res {
         Ok(Answer { status, body }) => {
--- a/src/hosts/lead.rs
+++ b/src/hosts/lead.rs
@@ -24,6 +24,10 @@
 const DECIDE_REST: u64 = 10;
 /// Machine types, for their prices.
 const TYPES_EVERY: Micros = 60 * SECOND;
+/// The cloud takes so many machines back at most with one request.
+const PER_RETURN: usize = 100;
+/// Share of the burst of writes that stays for others when machines are closed and returned.
+const KEEP: f64 = 0.3;
 /// Machines in one charter: the conditions of one transaction must hold all their keys.
 const PER_CHARTER: usize = 50;
 /// A refused combination is not asked for again so soon.
@@ -297,8 +301,20 @@
         }
     }
 
+    /// How many changes may go into bookkeeping now: users and placements come first.
+    fn to_spare(&self) -> usize {
+        let (level, burst) = self.store.write_level();
+        (level - burst * KEEP).max(0.0) as usize
+    }
+
     async fn mark(&self, ids: &[Rc<str>], state: HostState) {
         for chunk in ids.chunks(self.settings.txn_ops) {
+            let n = match state {
+                // Room that work waits for.
+                HostState::Up => chunk.len(),
+                _ => self.to_spare().min(chunk.len()),
+            };
+            let chunk = &chunk[..n];
             let mut t = Txn::default();
             {
                 let view = self.view.borrow();
@@ -511,15 +527,18 @@
     fn carry_out_returns(self: &Rc<Node>, mem: &mut Memory) {
         let ids: Vec<Rc<str>> = {
             let v = self.view.borrow();
-            v.hosts
+            let mut list: Vec<(bool, Rc<str>)> = v
+                .hosts
                 .iter()
                 .filter(|(id, h)| {
                     matches!(h.state, HostState::Lost | HostState::Returning)
                         && !mem.returning.borrow().contains(*id)
                 })
-                .map(|(id, _)| id.clone())
-                .take(100)
-                .collect()
+                .map(|(id, _)| (v.tasks_on(id).is_none(), id.clone()))
+                .collect();
+            // What is lost with tasks on it first: these wait for the cloud's answer.
+            list.sort();
+            list.into_iter().map(|x| x.1).take(PER_RETURN).collect()
         };
         if ids.is_empty() {
             return;
@@ -554,7 +573,21 @@
             return self.sleep(SECOND).await;
         }
         // Answered 200: the machines and all that was on them are gone. Only now their keys go.
-        for chunk in ids.chunks(self.settings.txn_ops) {
+        // First those on which something was: it can start elsewhere now.
+        let mut ids = ids.to_vec();
+        let with = |id: &Rc<str>| self.view.borrow().tasks_on(id).is_some();
+        ids.sort_by_key(|id| !with(id));
+        while !ids.is_empty() {
+            let urgent = ids.iter().take_while(|id| with(id)).count();
+            let n = urgent
+                .max(self.to_spare())
+                .min(self.settings.txn_ops)
+                .min(ids.len());
+            if n == 0 {
+                self.sleep(SECOND / 10).await;
+                continue;
+            }
+            let chunk: Vec<Rc<str>> = ids.drain(..n).collect();
             let t = Txn {
                 guards: Vec::new(),
                 then: chunk
--- a/src/node.rs
+++ b/src/node.rs
@@ -182,7 +182,7 @@
     /// A node that has not started yet.
     pub fn new(settings: Settings, policy: Policy, ex: Rc<LocalExecutor<'static>>) -> Rc<Node> {
         let clock = Clock::start();
-        let http = Rc::new(Client::default());
+        let http = Rc::new(Client::new(settings.max_connections / 5));
         let (barriers, barrier_queue) = async_channel::unbounded();
         Rc::new(Node {
             store: StoreClient::new(
--- a/src/wire/client.rs
+++ b/src/wire/client.rs
@@ -7,7 +7,7 @@
 use async_net::TcpStream;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
 use http_types::{Method, Request, Url};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
@@ -31,14 +31,25 @@
 }
 
 /// A pool of connections.
-#[derive(Default)]
 pub struct Client {
     idle: RefCell<HashMap<SocketAddr, Vec<TcpStream>>>,
+    kept: Cell<usize>,
+    most: usize,
 }
 
 const IDLE_PER_ADDRESS: usize = 4;
 
 impl Client {
+    /// A pool that keeps at most so many idle connections: a controller that serves every machine
+    /// has one connection from each already, and the platform counts sockets.
+    pub fn new(most: usize) -> Client {
+        Client {
+            idle: RefCell::default(),
+            kept: Cell::new(0),
+            most,
+        }
+    }
+
     /// Sends one request and reads its answer within `limit`. The caller must treat every error as
     /// "may have been carried out, or may yet be".
     pub async fn call(
@@ -83,7 +94,9 @@
     }
 
     fn pop(&self, addr: SocketAddr) -> Option<TcpStream> {
-        self.idle.borrow_mut().get_mut(&addr)?.pop()
+        let s = self.idle.borrow_mut().get_mut(&addr)?.pop()?;
+        self.kept.set(self.kept.get() - 1);
+        Some(s)
     }
 
     async fn one(
@@ -120,7 +133,8 @@
         if !close {
             let mut idle = self.idle.borrow_mut();
             let v = idle.entry(addr).or_default();
-            if v.len() < IDLE_PER_ADDRESS {
+            if v.len() < IDLE_PER_ADDRESS && self.kept.get() < self.most {
+                self.kept.set(self.kept.get() + 1);
                 v.push(s);
             }
         }
@@ -129,6 +143,8 @@
 
     /// Drops the idle connections to an address, e.g. after it went silent.
     pub fn forget(&self, addr: SocketAddr) {
-        self.idle.borrow_mut().remove(&addr);
+        if let Some(v) = self.idle.borrow_mut().remove(&addr) {
+            self.kept.set(self.kept.get() - v.len());
+        }
     }
 }
--- a/src/workers/drive.rs
+++ b/src/workers/drive.rs
@@ -11,7 +11,8 @@
 use crate::wire::server::Reply;
 use crate::wire::state::{Guard, Txn};
 use crate::wire::user::Shape;
-use crate::wire::worker::{ORDERS, Order, Orders, Redirect, Report};
+use crate::jobs::model::JobId;
+use crate::wire::worker::{ORDERS, Order, Orders, Redirect, Report, TaskStatus};
 use crate::wire::{decode, encode};
 use http_types::Method;
 use std::collections::HashSet;
@@ -36,6 +37,8 @@
 const UP_MAX: Micros = 10 * SECOND;
 /// The same direct order is not repeated sooner.
 const REPEAT: Micros = SECOND;
+/// A task that has run for so long shows that its job can run.
+const RUNS: Micros = 5 * SECOND;
 /// A job whose tasks fail is tried again after this, doubled with each failure.
 const BACK_OFF: Micros = SECOND / 2;
 const BACK_OFF_MAX: Micros = 20 * SECOND;
@@ -144,37 +147,62 @@
     fn learn(&self, host: &Rc<str>, news: News, now: Micros) {
         if !news.finished.is_empty() {
             let mut d = self.durations.borrow_mut();
+            let mut failing = self.failing.borrow_mut();
             for f in news.finished {
+                failing.remove(&f.job);
                 let list = d.entry(f.job).or_default();
                 if list.len() < 200 {
                     list.push(f.phases);
                 }
             }
         }
-        if !news.failed.is_empty() {
+        for job in news.failed {
+            // With dozens of faulty machines every job fails on several of them. A job whose tasks
+            // complete, or run on, elsewhere is not at fault: it is not held back, and its failures
+            // speak against the machine.
+            if self.sound(&job, host, now) {
+                self.failing.borrow_mut().remove(&job);
+                continue;
+            }
             let mut failing = self.failing.borrow_mut();
-            for job in news.failed {
-                let f = failing.entry(job).or_default();
-                f.hosts.insert(host.clone());
-                // One bad machine says little about the job: back off once it fails on others too.
-                if f.hosts.len() > 1 {
-                    f.count += 1;
-                    let wait = (BACK_OFF << f.count.min(10)).min(BACK_OFF_MAX);
-                    f.until = now + wait;
-                }
+            let f = failing.entry(job).or_default();
+            f.hosts.insert(host.clone());
+            // One bad machine says little about the job: back off once it fails on others too.
+            if f.hosts.len() > 1 {
+                f.count += 1;
+                let wait = (BACK_OFF << f.count.min(10)).min(BACK_OFF_MAX);
+                f.until = now + wait;
             }
         }
     }
 
+    /// Whether a job's tasks are known to work on some machine other than this one.
+    fn sound(&self, job: &JobId, host: &Rc<str>, now: Micros) -> bool {
+        self.durations.borrow().contains_key(job)
+            || self.view.borrow().jobs.get(job).is_some_and(|j| j.done > 0)
+            || self.machines.borrow().iter().any(|(id, m)| {
+                id != host
+                    && m.tasks.iter().any(|((j, _), s)| {
+                        j == job
+                            && s.status == TaskStatus::Running
+                            && now.saturating_sub(s.since) > RUNS
+                    })
+            })
+    }
+
     /// Keeps an entry for every machine of our parts, under the current term.
     pub fn adopt_machines(&self, view: &View, terms: &[Option<u64>], now: Micros) {
         let mut machines = self.machines.borrow_mut();
         let term = |id: &str| terms[part_of(id) as usize];
         machines.retain(|id, m| {
-            term(id) == Some(m.term)
+            let keep = term(id) == Some(m.term)
                 && (view.hosts.contains_key(id)
                     || view.tasks_on(id).is_some()
-                    || now.saturating_sub(m.heard) < 60 * SECOND)
+                    || now.saturating_sub(m.heard) < 60 * SECOND);
+            if let Some(a) = m.addr.filter(|_| !keep) {
+                self.http.forget(a);
+            }
+            keep
         });
         for id in view.hosts.keys().chain(view.on_host.keys()) {
             if machines.contains_key(id) {
