--- a/src/node.rs
+++ b/src/node.rs
@@ -734,6 +734,12 @@
                 .jobs
                 .values()
                 .any(|j| j.spec.kind == Shape::Gang && j.waiting > 0);
+        let serves = view.jobs.iter().any(|(id, j)| {
+            j.spec.kind == Shape::Service
+                && j.waiting > 0
+                && !j.spec.cancelled
+                && terms[part_of(id) as usize].is_some()
+        });
         let open = |id: &Rc<str>, h: &Host| {
             if !matches!(h.state, HostState::Up | HostState::Booting) {
                 return None;
@@ -748,7 +754,7 @@
                         session: m.session,
                         mine: true,
                     }),
-                None if !waits || mine(id) => None,
+                None if !(waits || serves) || mine(id) => None,
                 None => {
                     let session = match h.state {
                         HostState::Up => Some(h.session),
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -22,7 +22,8 @@
 pub struct Open {
     /// Its worker's session.
     pub session: u64,
-    /// Whether it belongs to the node that plans; others' machines take gangs only.
+    /// Whether it belongs to the node that plans; others' machines take gangs, and services that
+    /// are the node's own.
     pub mine: bool,
 }
 
@@ -358,7 +359,7 @@
         } else if headroom > 0 {
             let zoned = spec.one_zone || spec.spread;
             let kind = kind_of(spec);
-            let blocked = !zoned && full.contains(&kind);
+            let blocked = !zoned && full.contains(&kind) && !(e.home && kind.1);
             let pushes = !s.forecast
                 && (e.home || s.wall.saturating_sub(spec.submitted) > OTHERS_PUSH)
                 && (spec.rank <= Rank::High || e.entitled);
@@ -378,6 +379,7 @@
                 let mut rest = count;
                 let mut run = Run {
                     spec,
+                    home: e.home,
                     gpus: &gpus,
                     zones: zones(v, e.job),
                     waiting,
@@ -456,6 +458,7 @@
 /// Equal tasks of one job looking for machines.
 struct Run<'a> {
     spec: &'a Spec,
+    home: bool,
     gpus: &'a Gpus,
     zones: HashMap<&'a str, u32>,
     waiting: Vec<u32>,
@@ -464,7 +467,11 @@
 
 impl<'a> Run<'a> {
     fn suits(&self, sp: &Spot<'_>) -> bool {
-        sp.mine && sp.free.cpus >= self.spec.room.cpus && allowed(self.spec, sp.host)
+        // A service may go to another owner's machine: on a small fleet its own owner has few that
+        // hold its image. Arrays do not, so that owners seldom take the same room.
+        (sp.mine || (self.home && self.spec.kind == Shape::Service))
+            && sp.free.cpus >= self.spec.room.cpus
+            && allowed(self.spec, sp.host)
     }
 
     /// Machines with room, best first. Filling the best one keeps it the best while it has room:
@@ -638,6 +645,9 @@
     if spec.spot && !sp.host.spot {
         cost += 1;
     }
+    if spec.kind == Shape::Service && !sp.mine {
+        cost += 1;
+    }
     // Small tasks are drawn together, so that whole machines stay for those that need one, and
     // empty ones can be returned.
     if spec.kind == Shape::Array && sp.free == sp.whole && sp.whole.times(&spec.room) > 1 {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -47,7 +47,7 @@
             drain_normal: 45 * SECOND,
             drain_low: 90 * SECOND,
             finish_share: 0.5,
-            wait_share: 0.9,
+            wait_share: 0.75,
             max_machines: u64::MAX,
         }
     }
--- a/tests/grown.rs
+++ b/tests/grown.rs
@@ -125,21 +125,25 @@
     }
 
     fn plan(&self, freed: &HashMap<Rc<str>, Room>) -> Vec<Intent> {
+        self.plan_of(freed, &|_| true)
+    }
+
+    fn plan_of(&self, freed: &HashMap<Rc<str>, Room>, mine: &dyn Fn(&str) -> bool) -> Vec<Intent> {
         plan(&Scene {
             view: &self.view,
             wall: 401 * SECOND,
             teams: &[],
             objectives: &[],
-            open: &|_, h| {
+            open: &|id, h| {
                 (h.state == HostState::Up).then_some(Open {
                     session: h.session,
-                    mine: true,
+                    mine: mine(id),
                 })
             },
             freed,
             held_back: &|_| false,
             home: &|_| true,
-            mine: &|_| true,
+            mine,
             gangs: true,
             arrays: true,
             forecast: false,
@@ -307,6 +311,27 @@
     assert_eq!(w.view.jobs["req-1"].placed, 2);
 }
 
+/// With machines split among owners a service's own owner may have none that holds its image: it
+/// fetched instead of starting where the image was. Services may go to others' machines, arrays not.
+#[test]
+fn a_service_starts_where_its_image_is() {
+    let mut w = World::new(&[(false, false), (false, false)]);
+    w.job("req-1", spec(Shape::Service, Rank::Production, 1, 1, 0));
+    let all = w.plan_of(&HashMap::new(), &|id| id == "m-000001");
+    w.carry_out(&all);
+    assert!(w.view.on_host.contains_key("m-000001"), "its own first");
+    w.job("req-2", spec(Shape::Service, Rank::Production, 1, 1, 0));
+    w.job("req-3", spec(Shape::Array, Rank::Normal, 1, 1, 0));
+    let next = w.plan_of(&HashMap::new(), &|id| id == "m-000000");
+    w.carry_out(&next);
+    let on = |j: &str| match w.view.jobs[j].slot(0) {
+        Some(Slot::Placed(p)) => p.host.to_string(),
+        other => panic!("{other:?}"),
+    };
+    assert_eq!(on("req-2"), "m-000001", "another's, where its image is");
+    assert_eq!(on("req-3"), "m-000000", "an array stays with its owner");
+}
+
 /// Room of an exit that is known and not written yet is used; without it nothing starts.
 #[test]
 fn room_of_unwritten_exits_is_used() {
