--- a/src/hosts/mod.rs
+++ b/src/hosts/mod.rs
@@ -353,7 +353,7 @@
         let pool = pools.entry(key).or_insert_with(|| Pool::new(types));
         pool.load.push((
             s.rank,
-            horizon(o, &s.class, default) as f64 / 1e6,
+            horizon(o, s, default) as f64 / 1e6,
             tasks * run / per,
         ));
         pool.whole += whole;
@@ -510,13 +510,17 @@
 }
 
 /// The time in which a class's backlog should drain: a part of what its aims allow.
-fn horizon(o: &Outlook<'_>, class: &str, default: Micros) -> Micros {
+fn horizon(o: &Outlook<'_>, spec: &Spec, default: Micros) -> Micros {
+    let wait = match spec.kind {
+        Shape::Gang => o.policy.gang_wait_share,
+        _ => o.policy.wait_share,
+    };
     o.objectives
         .iter()
-        .filter(|x| x.class == class)
+        .filter(|x| x.class == spec.class)
         .map(|x| match x.kind {
             ObjectiveKind::Finished => (x.within as f64 * o.policy.finish_share) as Micros,
-            ObjectiveKind::Wait => (x.within as f64 * o.policy.wait_share) as Micros,
+            ObjectiveKind::Wait => (x.within as f64 * wait) as Micros,
         })
         .min()
         .unwrap_or(default)
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -30,6 +30,8 @@
     pub finish_share: f64,
     /// The same for an aim at starting.
     pub wait_share: f64,
+    /// The same for an aim at starting gangs.
+    pub gang_wait_share: f64,
     /// At most so many machines; without it the cloud's capacity is the bound.
     pub max_machines: u64,
 }
@@ -47,7 +49,8 @@
             drain_normal: 45 * SECOND,
             drain_low: 90 * SECOND,
             finish_share: 0.5,
-            wait_share: 0.75,
+            wait_share: 0.6,
+            gang_wait_share: 0.75,
             max_machines: u64::MAX,
         }
     }
@@ -124,6 +127,7 @@
                 "drain_low_s" => p.drain_low = from_secs(num(1.0, 86_400.0)?),
                 "finish_share" => p.finish_share = num(0.01, 10.0)?,
                 "wait_share" => p.wait_share = num(0.01, 10.0)?,
+                "gang_wait_share" => p.gang_wait_share = num(0.01, 10.0)?,
                 "max_machines" => p.max_machines = num(0.0, 100_000.0)? as u64,
                 "use_spot" => match v {
                     Value::Boolean(b) => p.use_spot = b,
