--- a/src/fairness/mod.rs
+++ b/src/fairness/mod.rs
@@ -1,6 +1,6 @@
 //! Fairness: the paper's control loop. Pending fractions, unfairness, raises.
 
-mod rounds;
+pub mod rounds;
 
 use crate::time::Micros;
 use serde::{Deserialize, Serialize};
--- a/src/fairness/rounds.rs
+++ b/src/fairness/rounds.rs
@@ -6,9 +6,10 @@
 use crate::store::keys;
 use crate::time::Micros;
 use crate::wire::state::{Change, Txn};
-use crate::wire::to_value;
 use crate::wire::user::Shape;
+use crate::wire::{json_size, to_value};
 use crate::workers::longest;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 
 fn median(mut list: Vec<Micros>) -> Micros {
@@ -16,6 +17,37 @@
     list.get(list.len() / 2).copied().unwrap_or(0)
 }
 
+/// What fits into one value: those that matter most by `worth`. Jobs without counts are taken as
+/// those of which nothing finished yet (T and P are 1), jobs without a raise as equals.
+pub fn fitting<T: serde::Serialize, W: Ord>(
+    jobs: BTreeMap<String, T>,
+    bytes: usize,
+    worth: &dyn Fn(&str, &T) -> W,
+) -> BTreeMap<String, T> {
+    // The braces and the field's name around them.
+    const AROUND: usize = 16;
+    if json_size(&jobs) + AROUND <= bytes {
+        return jobs;
+    }
+    let mut list: Vec<(W, String, T)> = jobs
+        .into_iter()
+        .map(|(id, x)| (worth(&id, &x), id, x))
+        .collect();
+    list.sort_by(|a, b| b.0.cmp(&a.0).then(a.1.cmp(&b.1)));
+    let mut left = bytes.saturating_sub(AROUND);
+    let mut out = BTreeMap::new();
+    for (_, id, x) in list {
+        // Quotes, colon and comma.
+        let size = id.len() + json_size(&x) + 4;
+        if size > left {
+            break;
+        }
+        left -= size;
+        out.insert(id, x);
+    }
+    out
+}
+
 impl Node {
     /// Writes our counts each round, if they changed.
     pub async fn counts_loop(self: Rc<Node>) {
@@ -25,15 +57,16 @@
             if !self.loaded.get() || !self.state_ok() {
                 continue;
             }
-            let c = self.counts();
+            let mut c = self.counts();
+            {
+                let view = self.view.borrow();
+                let queued = |id: &str| view.jobs.get(id).map_or(0, |j| j.queued());
+                c.jobs = fitting(c.jobs, self.value_limit(), &|id, _| queued(id));
+            }
             if c == last {
                 continue;
             }
             let v = to_value(&c);
-            if crate::wire::encode(&v).len() > self.settings.value_bytes / 2 {
-                tracing::warn!("too many jobs for one value of counts");
-                continue;
-            }
             let t = Txn {
                 guards: Vec::new(),
                 then: vec![Change::Put {
@@ -90,7 +123,9 @@
             let list: Vec<Activity> = view
                 .jobs
                 .iter()
-                .filter(|(_, j)| j.spec.kind != Shape::Service && !j.spec.cancelled)
+                // What waits for other jobs is in no queue yet: Q counts tasks that could start
+                // (section 2, algorithm 1), and a raise could not start them.
+                .filter(|(_, j)| j.spec.kind != Shape::Service && j.ready && !j.cancelled())
                 .map(|(id, j)| {
                     let (median, performance) =
                         merge(view.counts.values().filter_map(|c| c.jobs.get(&**id)));
@@ -103,7 +138,8 @@
                     }
                 })
                 .collect();
-            let next: Raises = round(&list, self.policy.fairness_threshold, &view.raises);
+            let mut next: Raises = round(&list, self.policy.fairness_threshold, &view.raises);
+            next.jobs = fitting(next.jobs, self.value_limit(), &|_, (n, p)| (*p, *n));
             if next == view.raises {
                 return;
             }
--- a/src/hosts/lead.rs
+++ b/src/hosts/lead.rs
@@ -4,12 +4,14 @@
 use super::{Outlook, decide};
 use crate::node::Node;
 use crate::placement::{self, Open, Scene};
+use crate::settings::StateLimits;
 use crate::store::client::Outcome;
 use crate::store::keys;
+use crate::store::view::View;
 use crate::time::{Micros, SECOND, from_secs, wall};
 use crate::wire::cloud::{HOSTS, HostStatus, Names, Page, RETURN, Rental, TYPES, Types};
 use crate::wire::state::{Change, Guard, Txn};
-use crate::wire::{encode, to_value};
+use crate::wire::{encode, json_size, to_value};
 use http_types::Method;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -32,6 +34,9 @@
 const MARKS: usize = 3;
 /// Machines in one charter: the conditions of one transaction must hold all their keys.
 const PER_CHARTER: usize = 50;
+/// Bytes of a charter beside the names, and of a name: the cloud's are shorter by far.
+const CHARTER_BYTES: usize = 256;
+const NAME_BYTES: usize = 24;
 /// A refused combination is not asked for again so soon.
 const REFUSED: Micros = 8 * SECOND;
 
@@ -144,6 +149,7 @@
                 wall,
                 refused: &is_refused,
                 idle_since: &mem.idle_since,
+                per_charter: self.per_charter(),
             })
         };
         let took = self.clock.now().saturating_sub(begun);
@@ -175,19 +181,41 @@
         if encode(&known) == encode(&new) || new.is_empty() {
             return;
         }
-        let t = Txn {
-            guards: Vec::new(),
-            then: vec![Change::Put {
-                put: keys::TYPES.into(),
-                v: to_value(&new),
-                permit: None,
-            }],
-        };
-        if let Outcome::Done(rev) = self.store.txn(&t).await {
-            self.wrote(&t, rev);
+        let limits = self.state_limits();
+        let mut puts: Vec<Change> = vec![Change::Put {
+            put: keys::TYPES.into(),
+            v: to_value(&new),
+            permit: None,
+        }];
+        if json_size(&new) > self.value_limit() {
+            // Each in a value of its own, those that changed.
+            puts = new
+                .iter()
+                .filter(|t| !known.iter().any(|k| encode(k) == encode(t)))
+                .map(|t| Change::Put {
+                    put: keys::machine_type(&t.sku),
+                    v: to_value(t),
+                    permit: None,
+                })
+                .collect();
+        }
+        for chunk in puts.chunks(limits.txn_ops) {
+            let t = Txn {
+                guards: Vec::new(),
+                then: chunk.to_vec(),
+            };
+            if let Outcome::Done(rev) = self.store.txn(&t).await {
+                self.wrote(&t, rev);
+            }
         }
     }
 
+    /// Machines whose names fit into one charter.
+    fn per_charter(&self) -> usize {
+        let names = self.value_limit().saturating_sub(CHARTER_BYTES) / NAME_BYTES;
+        names.clamp(1, PER_CHARTER)
+    }
+
     async fn read_list(&self, mem: &mut Memory) {
         let asked = wall();
         let mut all: BTreeMap<String, crate::wire::cloud::Listed> = BTreeMap::new();
@@ -276,7 +304,7 @@
         }
         // Machines that nobody knows are used: they are paid for. One write for many of them.
         for ((kind, zone, spot), list) in found {
-            for chunk in list.chunks(PER_CHARTER) {
+            for chunk in list.chunks(self.per_charter()) {
                 mem.charter_no += 1;
                 let c = Charter {
                     kind: kind.clone(),
@@ -290,7 +318,7 @@
                 self.write_charter(&name, &c).await;
             }
         }
-        for chunk in puts.chunks(self.settings.txn_ops) {
+        for chunk in puts.chunks(self.state_limits().txn_ops) {
             let mut t = Txn::default();
             {
                 let view = self.view.borrow();
@@ -313,7 +341,7 @@
     }
 
     async fn mark(&self, ids: &[Rc<str>], state: HostState) {
-        for chunk in ids.chunks(self.settings.txn_ops) {
+        for chunk in ids.chunks(self.state_limits().txn_ops) {
             let n = match state {
                 // Room that work waits for.
                 HostState::Up => chunk.len(),
@@ -487,44 +515,12 @@
         }
     }
 
-    /// Deletes charters whose machines all have keys of their own, or are gone.
+    /// Takes machines out of charters that have keys of their own, or are gone; an empty charter goes.
     async fn close_charters(&self) {
-        let t = {
-            let v = self.view.borrow();
-            let Some(t) = v
-                .charters
-                .iter()
-                .filter(|(_, c)| !c.open())
-                .find_map(|(name, c)| {
-                    let key = keys::charter(name);
-                    let mut t = Txn {
-                        guards: vec![Guard {
-                            stamp: v.stamp(&key),
-                            path: key.clone(),
-                        }],
-                        then: vec![Change::Delete { remove: key }],
-                    };
-                    for n in &c.names {
-                        let key = keys::host(n);
-                        if v.stamp(&key) > 0 {
-                            // Its key must be there when the charter goes: without either a machine
-                            // counts as gone.
-                            t.guards.push(Guard {
-                                stamp: v.stamp(&key),
-                                path: key,
-                            });
-                        } else if !v.deleted(&key) {
-                            return None;
-                        }
-                    }
-                    (t.guards.len() <= self.settings.txn_ops * 4).then_some(t)
-                })
-            else {
-                return;
-            };
-            t
-        };
-        if let Outcome::Done(rev) = self.store.txn(&t).await {
+        let t = shrink_charter(&self.view.borrow(), self.state_limits());
+        if let Some(t) = t
+            && let Outcome::Done(rev) = self.store.txn(&t).await
+        {
             self.wrote(&t, rev);
         }
     }
@@ -586,7 +582,7 @@
             let urgent = ids.iter().take_while(|id| with(id)).count();
             let n = urgent
                 .max(self.to_spare())
-                .min(self.settings.txn_ops)
+                .min(self.state_limits().txn_ops)
                 .min(ids.len());
             if n == 0 {
                 self.sleep(SECOND / 2).await;
@@ -608,3 +604,50 @@
         }
     }
 }
+
+/// A charter goes once each of its machines has a key of its own, or was returned. These keys must be
+/// there at that moment: without either a machine counts as gone. What one transaction cannot guard
+/// is done in steps, and then the charter keeps the other names.
+pub fn shrink_charter(v: &View, limits: StateLimits) -> Option<Txn> {
+    v.charters
+        .iter()
+        .filter(|(_, c)| !c.open())
+        .find_map(|(name, c)| {
+            let key = keys::charter(name);
+            let mut t = Txn {
+                guards: vec![Guard {
+                    stamp: v.stamp(&key),
+                    path: key.clone(),
+                }],
+                then: Vec::new(),
+            };
+            let mut rest = Vec::new();
+            for n in &c.names {
+                let host = keys::host(n);
+                let stamp = v.stamp(&host);
+                if stamp > 0 && t.guards.len() < limits.guards() {
+                    t.guards.push(Guard { stamp, path: host });
+                } else if stamp > 0 || !v.deleted(&host) {
+                    rest.push(n.clone());
+                }
+            }
+            let in_steps = c.names.len() >= limits.guards();
+            let change = match rest.len() {
+                0 => Change::Delete { remove: key },
+                // Not for a few at a time: each is a write.
+                n if in_steps && t.guards.len() == limits.guards() && n < c.names.len() => {
+                    Change::Put {
+                        put: key,
+                        v: to_value(&Charter {
+                            names: rest,
+                            ..c.clone()
+                        }),
+                        permit: None,
+                    }
+                }
+                _ => return None,
+            };
+            t.then.push(change);
+            Some(t)
+        })
+}
--- a/src/hosts/mod.rs
+++ b/src/hosts/mod.rs
@@ -1,7 +1,7 @@
 //! Machines of the cloud: what to rent and what to return. The decisions are pure; the leader
 //! carries them out.
 
-mod lead;
+pub mod lead;
 pub mod model;
 
 use crate::jobs::model::{Room, Spec};
@@ -32,6 +32,8 @@
     pub refused: &'a dyn Fn(&str, &str, bool) -> bool,
     /// Since when each machine has been empty.
     pub idle_since: &'a HashMap<Rc<str>, Micros>,
+    /// Machines whose names fit into one charter.
+    pub per_charter: usize,
 }
 
 /// What to do.
@@ -322,7 +324,7 @@
         let s = &j.spec;
         let lacking = unplaced.get(&**id).copied().unwrap_or(0);
         let service = s.kind == Shape::Service;
-        if s.cancelled || (service && lacking == 0) {
+        if j.cancelled() || !j.ready || (service && lacking == 0) {
             continue;
         }
         let types = candidates(v, s);
@@ -458,7 +460,8 @@
         let mut count = (n - 0.05).ceil().max(0.0) as u64;
         count = count
             .min(o.policy.max_machines.saturating_sub(total))
-            .min(MOST);
+            .min(MOST)
+            .min(o.per_charter as u64);
         if count > 0 {
             total += count;
             out.rent.push(Charter {
@@ -518,9 +521,10 @@
     o.objectives
         .iter()
         .filter(|x| x.class == spec.class)
-        .map(|x| match x.kind {
-            ObjectiveKind::Finished => (x.within as f64 * o.policy.finish_share) as Micros,
-            ObjectiveKind::Wait => (x.within as f64 * wait) as Micros,
+        .filter_map(|x| match x.kind {
+            ObjectiveKind::Finished => Some((x.within as f64 * o.policy.finish_share) as Micros),
+            ObjectiveKind::Wait => Some((x.within as f64 * wait) as Micros),
+            ObjectiveKind::Deadline => None,
         })
         .min()
         .unwrap_or(default)
@@ -533,7 +537,7 @@
         .view
         .jobs
         .values()
-        .filter(|j| j.spec.kind == Shape::Service && !j.spec.cancelled);
+        .filter(|j| j.spec.kind == Shape::Service && j.ready && !j.cancelled());
     let (mut sum, mut largest) = (0, 0);
     for j in services {
         sum += j.spec.room.cpus * i64::from(j.placed + j.waiting);
--- a/src/jobs/commit.rs
+++ b/src/jobs/commit.rs
@@ -3,14 +3,14 @@
 //! Each intent is checked again against the view when it is staged, and its transaction guards the
 //! versions that it was staged on: a late or repeated transaction changes nothing.
 
-use super::model::{BLOCK, Block, Final, JobId, Placement, Slot};
+use super::model::{AnyRecord, BLOCK, Block, Final, JobId, Placement, Slot, Spec, Stored};
 use crate::members::part_of;
 use crate::store::keys;
-use crate::store::view::View;
+use crate::store::view::{Job, View};
 use crate::time::Micros;
 use crate::wire::state::{Change, Guard, Txn};
-use crate::wire::to_value;
 use crate::wire::user::Shape;
+use crate::wire::{json_size, to_value};
 use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::rc::Rc;
 
@@ -83,6 +83,21 @@
     pub merge: usize,
     /// Bytes overall, with some reserve.
     pub bytes: usize,
+    /// Bytes of a value, counted as JSON, with some reserve.
+    pub value: usize,
+    /// Whether every controller reads what this version writes.
+    pub layout: bool,
+    /// Whether blocks are written packed, and split where they outgrow a value.
+    pub packed: bool,
+    /// Time of day.
+    pub wall: Micros,
+}
+
+impl Limits {
+    /// Conditions that a transaction may have.
+    fn guards(&self) -> usize {
+        self.ops * 4
+    }
 }
 
 /// What a team with limits still may use, at staging: the usage is read from the same view whose
@@ -158,18 +173,27 @@
     let spec = &job.spec;
     let mut g = Group::default();
     let mut changed: BTreeMap<u32, Block> = BTreeMap::new();
+    // Keys that will change: blocks, or the keys that they were split into.
+    let mut units: BTreeSet<(u32, u32)> = BTreeSet::new();
+    let unit = |i: u32| match job.split.get((i / BLOCK) as usize) {
+        Some(per) if *per > 0 => (i / BLOCK, i % BLOCK / per),
+        _ => (i / BLOCK, 0),
+    };
+    let beside = if limits.packed { 3 } else { 4 };
     let slot = |changed: &BTreeMap<u32, Block>, i: u32| -> Option<Slot> {
         match changed.get(&(i / BLOCK)) {
             Some(b) => b.0.get((i % BLOCK) as usize).cloned(),
             None => job.slot(i).cloned(),
         }
     };
-    let set = |changed: &mut BTreeMap<u32, Block>, i: u32, s: Slot| {
+    let mut set = |changed: &mut BTreeMap<u32, Block>, i: u32, s: Slot| {
         let n = i / BLOCK;
         // A transaction holds so many changes; a group's rest follows in the next one.
-        if !changed.contains_key(&n) && changed.len() + 4 > limits.ops && spec.kind != Shape::Gang {
+        let u = unit(i);
+        if !units.contains(&u) && units.len() + beside > limits.ops && spec.kind != Shape::Gang {
             return;
         }
+        units.insert(u);
         if let Some(b) = job.blocks.get(n as usize) {
             let b = changed.entry(n).or_insert_with(|| b.clone());
             if let Some(x) = b.0.get_mut((i % BLOCK) as usize) {
@@ -178,6 +202,7 @@
         }
     };
     let mut placed = false;
+    let mut hosts: BTreeMap<String, u64> = BTreeMap::new();
     // What is said of an attempt holds only while its machine's part has the same owner: a
     // controller that was cut off may send "its lease ended" and have it delivered a minute later,
     // when a newer owner has long kept that lease alive.
@@ -226,7 +251,7 @@
                 }
             }
             Intent::Place { tasks, .. } => {
-                if spec.cancelled {
+                if job.cancelled() || !job.ready {
                     continue;
                 }
                 let ready = tasks
@@ -234,7 +259,7 @@
                     .all(|(i, _, _)| matches!(slot(&changed, *i), Some(Slot::Waiting(_))));
                 let whole = spec.kind != Shape::Gang
                     || (tasks.len() == spec.tasks as usize
-                        && (blocks_of(spec.tasks) + 3) as usize <= limits.ops);
+                        && (limits.packed || (blocks_of(spec.tasks) + 3) as usize <= limits.ops));
                 if !ready || !whole {
                     continue;
                 }
@@ -242,7 +267,10 @@
                 let top = job.slots().map(|(_, s)| s.attempt()).max().unwrap_or(0);
                 for (i, host, session) in tasks {
                     // A transaction holds so many conditions; the rest of a large array follows.
-                    if spec.kind != Shape::Gang && g.guards.len() + 4 + 2 > limits.ops * 3 {
+                    if !limits.packed
+                        && spec.kind != Shape::Gang
+                        && g.guards.len() + hosts.len() + 4 + 2 > limits.ops * 3
+                    {
                         break;
                     }
                     let last = match spec.kind {
@@ -262,7 +290,7 @@
                     owner(&mut g, host);
                     let host = keys::host(host);
                     let stamp = view.stamp(&host);
-                    g.guards.insert(host, stamp);
+                    hosts.insert(host, stamp);
                 }
                 placed = true;
             }
@@ -278,19 +306,32 @@
         .map(|n| at(n).0.iter().filter(|s| **s == Slot::Done).count() as u32)
         .sum();
     let over = all(&|s| *s == Slot::Done);
-    let gone = spec.cancelled && all(&|s| !matches!(s, Slot::Placed(_)));
+    let gone = job.cancelled() && all(&|s| !matches!(s, Slot::Placed(_)));
     if over || gone {
         // A cancelled job stays cancelled, even when its tasks all completed meanwhile.
         let fin = Final {
-            cancelled: spec.cancelled,
+            cancelled: job.cancelled(),
             done,
+            at: if limits.layout { limits.wall } else { 0 },
         };
-        g.changes.push(Change::Put {
-            put: keys::fin(id),
-            v: to_value(&fin),
-            permit: None,
-        });
+        g.changes.push(put(keys::fin(id), &fin));
         g.changes.push(Change::Delete { remove: job_key });
+        g.bytes = 512;
+        if limits.packed {
+            // Neither condition can end again, so no block is guarded: what is done stays done, and
+            // a cancelled job gets no placement that was not written before its cancellation. What
+            // was written before that must be in the view, though.
+            if !over && spec.cancelled && view.rev < job_stamp {
+                return None;
+            }
+            // The rest is deleted later, in steps.
+            for key in view.keys_of(id) {
+                if g.changes.len() < limits.ops {
+                    g.changes.push(Change::Delete { remove: key });
+                }
+            }
+            return Some(g);
+        }
         for n in 1..job.blocks.len() as u32 {
             let key = keys::block(id, n);
             let stamp = view.stamp(&key);
@@ -302,64 +343,280 @@
                 g.changes.push(Change::Delete { remove: key });
             }
         }
-        g.bytes = 512;
         return Some(g);
     }
     if changed.is_empty() {
         return None;
     }
+    let mut split = None;
     for (n, b) in &changed {
-        g.bytes += 128
-            + b.0
-                .iter()
-                .map(|s| match s {
-                    Slot::Placed(p) => 32 + p.host.len(),
-                    _ => 14,
-                })
-                .sum::<usize>();
-        if *n == 0 {
-            continue;
+        if g.write(view, id, job, spec, *n, b, limits) {
+            split = Some(*n);
         }
-        let key = keys::block(id, *n);
-        g.guards.insert(key.clone(), view.stamp(&key));
-        g.changes.push(Change::Put {
-            put: key,
-            v: to_value(b),
-            permit: None,
-        });
     }
     // Placements of a job whose zones matter are decided on each other: one at a time.
-    if changed.contains_key(&0) || (placed && (spec.one_zone || spec.spread)) {
+    if placed
+        && (spec.one_zone || spec.spread)
+        && !g.changes.iter().any(|c| c.key() == job_key.as_str())
+    {
         let first = changed.get(&0).unwrap_or(&job.blocks[0]);
-        g.changes.push(Change::Put {
-            put: job_key,
-            v: to_value(&(spec.as_ref(), first)),
-            permit: None,
-        });
-        g.bytes += 512;
+        match (limits.packed, job.split.first()) {
+            (true, Some(per)) if *per > 0 => {
+                let r = (spec.as_ref(), Stored::Split(*per));
+                g.changes.push(put(job_key, &r));
+                g.bytes += 512;
+            }
+            _ => {
+                if g.write(view, id, job, spec, 0, first, limits) {
+                    split = Some(0);
+                }
+            }
+        }
     }
     if placed && capped(&spec.team) {
         let key = keys::team(&spec.team);
         g.guards.insert(key.clone(), view.stamp(&key));
-        g.changes.push(Change::Put {
-            put: key,
-            v: to_value(&id.to_string()),
-            permit: None,
+        g.changes.push(put(key, &id.to_string()));
+    }
+    // The machines' own keys as well, so that none of them is being returned. That spares a wasted
+    // start and is no rule: a machine whose key is gone has nothing on it. Where they are too many
+    // for a transaction, the terms of their parts stand for them.
+    if !limits.packed || g.guards.len() + hosts.len() <= limits.guards() {
+        g.guards.append(&mut hosts);
+    }
+    if let (true, Some(n)) = (g.changes.len() > limits.ops, split) {
+        return split_first(view, id, job, n, limits);
+    }
+    let fits = g.changes.len() <= limits.ops && g.guards.len() <= limits.guards();
+    if !fits && limits.packed {
+        tracing::debug!(job = %id, changes = g.changes.len(), "needs more than a transaction");
+    }
+    fits.then_some(g)
+}
+
+fn put<T: serde::Serialize>(key: String, v: &T) -> Change {
+    Change::Put {
+        put: key,
+        v: to_value(v),
+        permit: None,
+    }
+}
+
+/// Bytes that a slot may take in a key that a block was split into: a machine of its own, with an
+/// attempt and a grace that no other slot has.
+const SLOT_BYTES: usize = 32;
+
+impl Group {
+    /// Adds the writes that give a block this content, and tells whether that splits the block.
+    ///
+    /// Blocks of older versions hold up to `BLOCK` slots, whatever fits into a value now. Written
+    /// anew, equal slots stand together; what still does not fit is split into keys of fewer slots,
+    /// of which later only those are written that change. Block and keys are one transaction, so
+    /// there is no moment in between.
+    #[allow(clippy::too_many_arguments)]
+    fn write(
+        &mut self,
+        view: &View,
+        id: &JobId,
+        job: &Job,
+        spec: &Spec,
+        n: u32,
+        b: &Block,
+        limits: Limits,
+    ) -> bool {
+        let key = match n {
+            0 => keys::job(id),
+            _ => keys::block(id, n),
+        };
+        self.guards.insert(key.clone(), view.stamp(&key));
+        if !limits.packed {
+            self.bytes += 128 + b.0.iter().map(plain_bytes).sum::<usize>();
+            self.changes.push(match n {
+                0 => put(key, &(spec, b)),
+                _ => put(key, b),
+            });
+            if n == 0 {
+                self.bytes += 512;
+            }
+            return false;
+        }
+        let per = job.split.get(n as usize).copied().unwrap_or(0);
+        if per > 0 {
+            let old = job.blocks.get(n as usize);
+            let leaves: Vec<(u32, Stored)> = leaves(b, per)
+                .filter(|(k, leaf)| old.and_then(|o| leaf_of(o, per, *k)) != Some(&leaf.0))
+                .map(|(k, leaf)| (k, Stored::Packed(leaf)))
+                .collect();
+            if leaves.iter().all(|(_, l)| json_size(l) <= limits.value) {
+                for (k, leaf) in leaves {
+                    let key = keys::slots(id, n, per, k);
+                    self.guards.insert(key.clone(), view.stamp(&key));
+                    self.bytes += json_size(&leaf);
+                    self.changes.push(put(key, &leaf));
+                }
+                return false;
+            }
+        } else {
+            let stored = Stored::Packed(b.clone());
+            let size = match n {
+                0 => json_size(&(spec, &stored)),
+                _ => json_size(&stored),
+            };
+            if size <= limits.value {
+                self.bytes += size;
+                self.changes.push(match n {
+                    0 => put(key, &(spec, &stored)),
+                    _ => put(key, &stored),
+                });
+                return false;
+            }
+        }
+        let (per, list) = self.split(view, id, n, b, per, limits);
+        self.changes.extend(list);
+        let marker = Stored::Split(per);
+        self.bytes += 512;
+        self.changes.push(match n {
+            0 => put(key, &(spec, marker)),
+            _ => put(key, &marker),
         });
+        true
     }
-    (g.changes.len() <= limits.ops && g.guards.len() <= limits.ops * 4).then_some(g)
+
+    /// The writes of the keys that a block is split into, and how many slots are in each. Keys that
+    /// hold this already are only guarded.
+    fn split(
+        &mut self,
+        view: &View,
+        id: &JobId,
+        n: u32,
+        b: &Block,
+        before: u32,
+        limits: Limits,
+    ) -> (u32, Vec<Change>) {
+        let mut per = match before {
+            0 => ((limits.value / SLOT_BYTES) as u32).clamp(1, BLOCK / 2),
+            _ => (before / 2).max(1),
+        };
+        while per > 1 && leaves(b, per).any(|(_, l)| json_size(&Stored::Packed(l)) > limits.value) {
+            per = per.div_ceil(2);
+        }
+        let mut out = Vec::new();
+        for (k, leaf) in leaves(b, per) {
+            let key = keys::slots(id, n, per, k);
+            let stamp = view.stamp(&key);
+            let untouched = stamp == 0 && leaf.0.iter().all(|s| *s == Slot::Waiting(0));
+            self.guards.insert(key.clone(), stamp);
+            if !untouched && view.leaf(id, n, per, k) != Some(&leaf) {
+                let leaf = Stored::Packed(leaf);
+                self.bytes += json_size(&leaf);
+                out.push(put(key, &leaf));
+            }
+        }
+        (per, out)
+    }
+}
+
+fn plain_bytes(s: &Slot) -> usize {
+    match s {
+        Slot::Placed(p) => 32 + p.host.len(),
+        _ => 14,
+    }
+}
+
+fn leaf_of(b: &Block, per: u32, k: u32) -> Option<&[Slot]> {
+    b.0.chunks(per.max(1) as usize).nth(k as usize)
+}
+
+fn leaves(b: &Block, per: u32) -> impl Iterator<Item = (u32, Block)> + '_ {
+    b.0.chunks(per.max(1) as usize)
+        .enumerate()
+        .map(|(k, s)| (k as u32, Block(s.to_vec())))
+}
+
+/// Splits a block as it is: what is to change follows once it is written in small keys. Where one
+/// transaction cannot hold all of them, some are written first; they mean nothing until the block
+/// names them, and the transaction that makes it do so guards the block and every one of them.
+fn split_first(view: &View, id: &JobId, job: &Job, n: u32, limits: Limits) -> Option<Group> {
+    let b = job.blocks.get(n as usize)?;
+    let per = job.split.get(n as usize).copied().unwrap_or(0);
+    let mut g = Group::default();
+    let job_key = keys::job(id);
+    g.guards.insert(job_key.clone(), view.stamp(&job_key));
+    let key = match n {
+        0 => job_key,
+        _ => keys::block(id, n),
+    };
+    let (per, list) = g.split(view, id, n, b, per, limits);
+    if list.len() < limits.ops {
+        g.changes = list;
+        let marker = Stored::Split(per);
+        g.changes.push(match n {
+            0 => put(key.clone(), &(job.spec.as_ref(), marker)),
+            _ => put(key.clone(), &marker),
+        });
+    } else {
+        let names: HashSet<String> = list
+            .iter()
+            .take(limits.ops)
+            .map(|c| c.key().to_string())
+            .collect();
+        g.guards.retain(|k, _| names.contains(k));
+        g.changes = list.into_iter().take(limits.ops).collect();
+    }
+    g.guards.insert(key.clone(), view.stamp(&key));
+    (g.guards.len() <= limits.guards()).then_some(g)
+}
+
+/// The transaction that withdraws a job, or a step towards it where the job's record has to be split
+/// first.
+pub fn withdraw(view: &View, id: &JobId, limits: Limits) -> Option<Txn> {
+    let job = view.jobs.get(id)?;
+    let mut spec = job.spec.as_ref().clone();
+    spec.cancelled = true;
+    let mut g = Group::default();
+    let key = keys::job(id);
+    g.guards.insert(key.clone(), view.stamp(&key));
+    match job.split.first() {
+        Some(per) if *per > 0 => g.changes.push(put(key, &(spec, Stored::Split(*per)))),
+        _ => {
+            let first = job.blocks.first()?;
+            if g.write(view, id, job, &spec, 0, first, limits) && g.changes.len() > limits.ops {
+                g = split_first(view, id, job, 0, limits)?;
+            }
+        }
+    }
+    Some(Txn {
+        guards: g
+            .guards
+            .into_iter()
+            .map(|(path, stamp)| Guard { path, stamp })
+            .collect(),
+        then: g.changes,
+    })
+}
+
+/// A job's record as it is written when the job is accepted.
+pub fn accepted(spec: Spec, limits: Limits) -> AnyRecord {
+    let none = Block::default();
+    AnyRecord(
+        spec,
+        if limits.packed {
+            Stored::Packed(none)
+        } else {
+            Stored::Plain(none)
+        },
+    )
 }
 
 fn blocks_of(tasks: u32) -> u32 {
     super::model::blocks(tasks)
 }
 
-/// Deletes blocks whose job is over.
+/// Deletes keys of slots and needs whose job is over.
 pub fn sweep(view: &View, limits: Limits) -> Option<Txn> {
     let mut t = Txn::default();
     let mut seen = BTreeSet::new();
-    for (id, n) in view.orphans().into_iter().take(limits.ops) {
-        let key = keys::block(&id, n);
+    for (id, key) in view.orphans().into_iter().take(limits.ops) {
         t.guards.push(Guard {
             path: key.clone(),
             stamp: view.stamp(&key),
--- a/src/jobs/front.rs
+++ b/src/jobs/front.rs
@@ -1,6 +1,7 @@
 //! Users' requests: submit, poll, withdraw.
 
-use super::model::{Block, Final, JobId, Record, Refusal, admit};
+use super::commit::{accepted, withdraw};
+use super::model::{Final, Ids, JobId, Needs, Refusal, Spec, admit};
 use crate::node::Node;
 use crate::store::client::Outcome;
 use crate::store::keys;
@@ -8,9 +9,10 @@
 use crate::wire::peer::{FORWARD, Forward, Forwarded, pack, unpack};
 use crate::wire::server::{Ask, Reply};
 use crate::wire::state::{Change, Guard, Txn};
-use crate::wire::user::{JobAnswer, Route, Status, Submission, route, valid_id};
-use crate::wire::{decode, from_value, to_value};
+use crate::wire::user::{JobAnswer, Route, Shape, Status, Submission, route, valid_id};
+use crate::wire::{decode, json_size, to_value};
 use http_types::Method;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 
 /// Seconds after which a user who could not be served may come back.
@@ -19,6 +21,25 @@
 /// A submission that would have to wait longer for the state service's budget is not taken now.
 const QUEUE: crate::time::Micros = SECOND / 2;
 
+/// Jobs of which nothing is at hand are asked for one by one: so many for one submission. A longer
+/// list is taken when the user comes back, with the answers kept.
+const ASKS: usize = 40;
+
+/// So many of the jobs that a job waits for are shown.
+const SHOWN: usize = 20;
+
+/// Transactions that a withdrawal may take: a placement may come in between, a record may have to be
+/// split first.
+const TRIES: usize = 12;
+
+/// Why a list of needed jobs is not taken.
+enum NoNeeds {
+    /// Answered 422.
+    Impossible(&'static str),
+    /// Answered 503.
+    Later,
+}
+
 fn later() -> Reply {
     Reply::later(503, COME_BACK)
 }
@@ -33,6 +54,7 @@
         },
         done: f.done,
         running: 0,
+        waits_on: Vec::new(),
     }
 }
 
@@ -124,7 +146,7 @@
         let j = v.jobs.get(id)?;
         Some(JobAnswer {
             id: id.into(),
-            status: if j.spec.cancelled {
+            status: if j.cancelled() {
                 Status::Cancelled
             } else if j.placed > 0 {
                 Status::Running
@@ -133,6 +155,13 @@
             },
             done: j.done,
             running: j.placed,
+            waits_on: j
+                .needs
+                .iter()
+                .filter(|n| v.ended(n).is_none())
+                .take(SHOWN)
+                .map(|n| n.to_string())
+                .collect(),
         })
     }
 
@@ -149,13 +178,9 @@
         }
         if known.is_none() {
             // Final states are not loaded at the start: ask for this one.
-            match self.store.get(&keys::fin(id), SECOND).await {
-                Ok(Ok(item)) => {
-                    let f: Final = from_value(&item.v).ok_or(())?;
-                    self.view.borrow_mut().remember(&JobId::from(id), f);
-                    return Ok(Some(final_answer(id, f)));
-                }
-                Ok(Err(_)) => {}
+            match self.read_final(&JobId::from(id)).await {
+                Ok(Some(f)) => return Ok(Some(final_answer(id, f))),
+                Ok(None) => {}
                 Err(_) => return Err(()),
             }
         }
@@ -163,9 +188,151 @@
         if !self.barrier().await {
             return Err(());
         }
+        // What is told of a job follows from all that it needs: a user who was told that one of them
+        // is cancelled must not hear anything else of this one. Not seeing one proves nothing.
+        for n in self.unknown_above(id) {
+            match self.read_final(&n).await {
+                Ok(Some(_)) => {}
+                Ok(None) | Err(_) => return Err(()),
+            }
+        }
         Ok(self.seen(id))
     }
 
+    fn unknown_above(&self, id: &str) -> Vec<JobId> {
+        self.view.borrow().unknown_above(id)
+    }
+
+    /// Checks the jobs that a submission names and gives those that count: not those that are done,
+    /// and of one that is cancelled nothing but that.
+    async fn needs(&self, own: &str, names: &[String]) -> Result<Vec<JobId>, NoNeeds> {
+        let names: BTreeSet<&String> = names.iter().collect();
+        if names.iter().any(|n| *n == own) {
+            return Err(NoNeeds::Impossible("waits for itself"));
+        }
+        // A node from before would start it at once. 503 until every node knows better.
+        if self.view.borrow().layout.is_none() || !self.state_ok() {
+            return Err(NoNeeds::Later);
+        }
+        let unknown: Vec<JobId> = {
+            let v = self.view.borrow();
+            names
+                .iter()
+                .filter(|n| v.ended(n).is_none() && !v.jobs.contains_key(n.as_str()))
+                .map(|n| n.as_str().into())
+                .collect()
+        };
+        let mut missing = Vec::new();
+        for (asked, n) in unknown.into_iter().enumerate() {
+            if asked == ASKS {
+                return Err(NoNeeds::Later);
+            }
+            match self.read_final(&n).await {
+                Ok(Some(_)) => {}
+                Ok(None) => missing.push(n),
+                Err(_) => return Err(NoNeeds::Later),
+            }
+        }
+        // Not over: then it is among the unfinished ones, as a read begun now shows them, or nobody
+        // accepted it.
+        if !missing.is_empty() {
+            if !self.barrier().await {
+                return Err(NoNeeds::Later);
+            }
+            let v = self.view.borrow();
+            if missing
+                .iter()
+                .any(|n| v.ended(n).is_none() && !v.jobs.contains_key(n))
+            {
+                return Err(NoNeeds::Impossible(
+                    "waits for a job that was never accepted",
+                ));
+            }
+        }
+        let v = self.view.borrow();
+        let mut out = Vec::new();
+        for n in names {
+            match v.ended(n) {
+                Some(f) if f.cancelled => return Ok(vec![n.as_str().into()]),
+                Some(_) => {}
+                None => {
+                    if v.jobs
+                        .get(n.as_str())
+                        .is_some_and(|j| j.spec.kind == Shape::Service)
+                    {
+                        return Err(NoNeeds::Impossible("waits for a service"));
+                    }
+                    out.push(n.as_str().into());
+                }
+            }
+        }
+        Ok(out)
+    }
+
+    /// The writes that accept a job: its record, and keys of their own for jobs that it needs and
+    /// that do not fit in there. The latter come before, in steps if need be, and mean nothing
+    /// without the record.
+    fn acceptance(&self, id: &str, mut spec: Spec) -> Option<Vec<Txn>> {
+        let limits = self.limits();
+        let v = self.view.borrow();
+        let mut all = std::mem::take(&mut spec.needs.jobs.0);
+        let fits = |spec: &Spec| json_size(&accepted(spec.clone(), limits)) <= limits.value;
+        spec.needs.jobs = Ids(all.clone());
+        let mut extra: Vec<(String, Ids)> = Vec::new();
+        if !fits(&spec) {
+            spec.needs = Needs::default();
+            // Room for the count of keys.
+            spec.needs.keys = u32::MAX;
+            if !fits(&spec) {
+                return None;
+            }
+            while !all.is_empty() {
+                let mut bytes = 0;
+                let n = all
+                    .iter()
+                    .take_while(|j| {
+                        bytes += j.len() + 1;
+                        bytes < limits.value
+                    })
+                    .count()
+                    .max(1);
+                let rest = all.split_off(n);
+                let k = extra.len() as u32;
+                extra.push((keys::needs(id, k), Ids(std::mem::replace(&mut all, rest))));
+            }
+            spec.needs.keys = extra.len() as u32;
+        }
+        let guard = |path: String, stamp: u64| Guard { path, stamp };
+        let put = |put: String, v: ciborium::Value| Change::Put {
+            put,
+            v,
+            permit: None,
+        };
+        let mut out = Vec::new();
+        let missing: Vec<&(String, Ids)> = extra.iter().filter(|(k, _)| v.stamp(k) == 0).collect();
+        for chunk in missing.chunks(limits.ops) {
+            out.push(Txn {
+                guards: chunk.iter().map(|(k, _)| guard(k.clone(), 0)).collect(),
+                then: chunk
+                    .iter()
+                    .map(|(k, l)| put(k.clone(), to_value(l)))
+                    .collect(),
+            });
+        }
+        if out.is_empty() {
+            let mut guards = vec![guard(keys::job(id), 0), guard(keys::fin(id), 0)];
+            guards.extend(extra.iter().map(|(k, _)| guard(k.clone(), v.stamp(k))));
+            if guards.len() > limits.ops * 4 {
+                return None;
+            }
+            out.push(Txn {
+                guards,
+                then: vec![put(keys::job(id), to_value(&accepted(spec, limits)))],
+            });
+        }
+        Some(out)
+    }
+
     async fn poll(&self, id: &str) -> Reply {
         if !valid_id(id) {
             return Reply::status(404);
@@ -185,7 +352,8 @@
                 return Reply::status(400);
             }
         };
-        if !valid_id(&s.id) {
+        let ids = s.waits_on.iter().flatten().chain([&s.id]);
+        if !ids.into_iter().all(|id| valid_id(id)) {
             return Reply::status(400);
         }
         if self.seen(&s.id).is_some() {
@@ -218,54 +386,65 @@
         if !self.state_ok() {
             return later();
         }
+        let mut spec = spec;
+        let names = s.waits_on.as_deref().unwrap_or_default();
+        if !names.is_empty() {
+            match self.needs(&s.id, names).await {
+                Ok(list) => spec.needs.jobs = Ids(list),
+                Err(NoNeeds::Later) => return later(),
+                Err(NoNeeds::Impossible(why)) => {
+                    tracing::debug!(id = s.id, why, "can never run");
+                    return Reply::status(422);
+                }
+            }
+        }
         if self.store.write_queue() > QUEUE {
             return Reply::later(429, COME_BACK);
         }
-        let t = Txn {
-            guards: vec![
-                Guard {
-                    path: keys::job(&s.id),
-                    stamp: 0,
-                },
-                Guard {
-                    path: keys::fin(&s.id),
-                    stamp: 0,
-                },
-            ],
-            then: vec![Change::Put {
-                put: keys::job(&s.id),
-                v: to_value(&Record(spec, Block::default())),
-                permit: None,
-            }],
-        };
-        match self.store.txn(&t).await {
-            Outcome::Done(rev) => {
-                self.wrote(&t, rev);
-                Reply::with(
-                    201,
-                    &JobAnswer {
-                        id: s.id,
-                        status: Status::Pending,
-                        done: 0,
-                        running: 0,
-                    },
-                )
+        // Long lists of needed jobs come in steps before the record.
+        for _ in 0..TRIES {
+            let Some(steps) = self.acceptance(&s.id, spec.clone()) else {
+                tracing::debug!(id = s.id, "names or lists too long for a value");
+                return Reply::status(400);
+            };
+            for t in steps {
+                let last = t.then.iter().any(|c| c.key() == keys::job(&s.id));
+                match self.store.txn(&t).await {
+                    Outcome::Done(rev) => {
+                        self.wrote(&t, rev);
+                        if last {
+                            return Reply::with(
+                                201,
+                                &JobAnswer {
+                                    id: s.id,
+                                    status: Status::Pending,
+                                    done: 0,
+                                    running: 0,
+                                    waits_on: Vec::new(),
+                                },
+                            );
+                        }
+                    }
+                    Outcome::Conflict(_) => {
+                        match self.current(&s.id).await {
+                            Ok(Some(a)) => return Reply::with(200, &a),
+                            Ok(None) if !last => break,
+                            _ => return later(),
+                        };
+                    }
+                    Outcome::Refused(429) => return Reply::later(429, COME_BACK),
+                    _ => return later(),
+                }
             }
-            Outcome::Conflict(_) => match self.current(&s.id).await {
-                Ok(Some(a)) => Reply::with(200, &a),
-                _ => later(),
-            },
-            Outcome::Refused(429) => Reply::later(429, COME_BACK),
-            _ => later(),
         }
+        later()
     }
 
     async fn withdraw(&self, id: &str) -> Reply {
         if !valid_id(id) {
             return Reply::status(404);
         }
-        // A placement of the job may come in between.
-        for _ in 0..6 {
+        for _ in 0..TRIES {
             match self.current(id).await {
                 Ok(Some(a)) if matches!(a.status, Status::Done | Status::Cancelled) => {
                     return Reply::with(200, &a);
@@ -274,24 +453,8 @@
                 Ok(None) => return Reply::status(404),
                 Err(()) => return later(),
             }
-            let t = {
-                let v = self.view.borrow();
-                let Some(j) = v.jobs.get(id) else { continue };
-                let mut spec = j.spec.as_ref().clone();
-                spec.cancelled = true;
-                let key = keys::job(id);
-                Txn {
-                    guards: vec![Guard {
-                        path: key.clone(),
-                        stamp: v.stamp(&key),
-                    }],
-                    then: vec![Change::Put {
-                        put: key,
-                        v: to_value(&(spec, &j.blocks[0])),
-                        permit: None,
-                    }],
-                }
-            };
+            let t = withdraw(&self.view.borrow(), &JobId::from(id), self.limits());
+            let Some(t) = t else { continue };
             match self.store.txn(&t).await {
                 Outcome::Done(rev) => self.wrote(&t, rev),
                 Outcome::Conflict(_) => {}
--- a/src/jobs/model.rs
+++ b/src/jobs/model.rs
@@ -125,6 +125,55 @@
     /// Withdrawn by its user.
     #[serde(rename = "x", default)]
     pub cancelled: bool,
+    /// Jobs that must be done before any task of it starts, as far as they were not done when it was
+    /// submitted. Written only once every controller knows pipelines.
+    #[serde(rename = "w", default, skip_serializing_if = "Needs::is_empty")]
+    pub needs: Needs,
+}
+
+/// Jobs that a job waits for. What does not fit into the job's record is in keys of its own.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Needs {
+    /// Their ids.
+    #[serde(rename = "j", default)]
+    pub jobs: Ids,
+    /// How many further keys hold more of them.
+    #[serde(rename = "k", default)]
+    pub keys: u32,
+}
+
+impl Needs {
+    /// Whether it waits for none.
+    pub fn is_empty(&self) -> bool {
+        self.jobs.0.is_empty() && self.keys == 0
+    }
+}
+
+/// Job ids, written as one text of what differs between them: long lists take a few bytes an id.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Ids(pub Vec<JobId>);
+
+const ID_PREFIX: &str = "req-";
+
+impl Serialize for Ids {
+    fn serialize<S: serde::Serializer>(&self, s: S) -> Result<S::Ok, S::Error> {
+        let list: Vec<&str> = self
+            .0
+            .iter()
+            .map(|j| j.strip_prefix(ID_PREFIX).unwrap_or(j))
+            .collect();
+        s.serialize_str(&list.join(" "))
+    }
+}
+
+impl<'de> Deserialize<'de> for Ids {
+    fn deserialize<D: serde::Deserializer<'de>>(d: D) -> Result<Ids, D::Error> {
+        let text = String::deserialize(d)?;
+        Ok(Ids(text
+            .split_ascii_whitespace()
+            .map(|j| format!("{ID_PREFIX}{j}").into())
+            .collect()))
+    }
 }
 
 /// Why a submission is refused for good.
@@ -228,6 +277,7 @@
         deadline: deadline.map(from_secs),
         submitted: now,
         cancelled: false,
+        needs: Needs::default(),
     })
 }
 
@@ -291,23 +341,187 @@
     }
 }
 
+impl From<Wire> for Slot {
+    fn from((k, attempt, host, session, stop): Wire) -> Slot {
+        match k {
+            1 => Slot::Placed(Placement {
+                attempt,
+                host: host.into(),
+                session,
+                stop: stop.checked_sub(1).map(|ms| ms * 1000),
+            }),
+            2 => Slot::Done,
+            _ => Slot::Waiting(attempt),
+        }
+    }
+}
+
 impl<'de> Deserialize<'de> for Block {
     fn deserialize<D: serde::Deserializer<'de>>(d: D) -> Result<Block, D::Error> {
         let raw: Vec<Wire> = Vec::deserialize(d)?;
-        Ok(Block(
-            raw.into_iter()
-                .map(|(k, attempt, host, session, stop)| match k {
-                    1 => Slot::Placed(Placement {
-                        attempt,
-                        host: host.into(),
-                        session,
-                        stop: stop.checked_sub(1).map(|ms| ms * 1000),
-                    }),
-                    2 => Slot::Done,
-                    _ => Slot::Waiting(attempt),
+        Ok(Block(raw.into_iter().map(Slot::from).collect()))
+    }
+}
+
+/// Numbers of slots as runs: how many to skip, how many to take, and so on.
+type Runs = Vec<u32>;
+/// Equal placements: machine, session, attempt, grace in milliseconds plus 1, slots.
+type PackedRun = (Rc<str>, u64, u32, u64, Runs);
+
+/// What equal placements share.
+type Alike<'a> = (&'a Rc<str>, u64, u32, u64);
+
+/// A block as it is written once every controller reads this: equal slots together. A slot that is
+/// in no list was never placed.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+struct Packed {
+    #[serde(rename = "n", default)]
+    len: u32,
+    #[serde(rename = "d", default, skip_serializing_if = "Vec::is_empty")]
+    done: Runs,
+    #[serde(rename = "w", default, skip_serializing_if = "Vec::is_empty")]
+    waiting: Vec<(u32, Runs)>,
+    #[serde(rename = "p", default, skip_serializing_if = "Vec::is_empty")]
+    placed: Vec<PackedRun>,
+    /// In place of all that: the slots are in keys of their own, so many in each.
+    #[serde(rename = "s", default, skip_serializing_if = "is_zero")]
+    split: u32,
+}
+
+fn is_zero(n: &u32) -> bool {
+    *n == 0
+}
+
+fn add_run(runs: &mut Runs, end: &mut u32, i: u32) {
+    match runs.last_mut() {
+        Some(n) if *end == i => *n += 1,
+        _ => runs.extend([i - *end, 1]),
+    }
+    *end = i + 1;
+}
+
+fn each_run(runs: &[u32], len: u32, mut f: impl FnMut(usize)) {
+    let mut at = 0u32;
+    for pair in runs.chunks(2) {
+        at = at.saturating_add(pair[0]);
+        let end = at
+            .saturating_add(pair.get(1).copied().unwrap_or(0))
+            .min(len);
+        while at < end {
+            f(at as usize);
+            at += 1;
+        }
+    }
+}
+
+impl From<&Block> for Packed {
+    fn from(b: &Block) -> Packed {
+        let mut out = Packed {
+            len: b.0.len() as u32,
+            ..Packed::default()
+        };
+        let mut done_end = 0;
+        let mut waiting: BTreeMap<u32, (Runs, u32)> = BTreeMap::new();
+        let mut placed: BTreeMap<Alike<'_>, (Runs, u32)> = BTreeMap::new();
+        for (i, s) in b.0.iter().enumerate() {
+            let i = i as u32;
+            match s {
+                Slot::Waiting(0) => {}
+                Slot::Waiting(a) => {
+                    let (runs, end) = waiting.entry(*a).or_default();
+                    add_run(runs, end, i);
+                }
+                Slot::Done => add_run(&mut out.done, &mut done_end, i),
+                Slot::Placed(p) => {
+                    let grace = p.stop.map_or(0, |g| g / 1000 + 1);
+                    let (runs, end) = placed
+                        .entry((&p.host, p.session, p.attempt, grace))
+                        .or_default();
+                    add_run(runs, end, i);
+                }
+            }
+        }
+        out.waiting = waiting.into_iter().map(|(a, (r, _))| (a, r)).collect();
+        out.placed = placed
+            .into_iter()
+            .map(|((h, s, a, g), (r, _))| (h.clone(), s, a, g, r))
+            .collect();
+        out
+    }
+}
+
+impl From<Packed> for Block {
+    fn from(p: Packed) -> Block {
+        let len = p.len.min(MAX_TASKS);
+        let mut b = Block(vec![Slot::Waiting(0); len as usize]);
+        for (a, runs) in &p.waiting {
+            each_run(runs, len, |i| b.0[i] = Slot::Waiting(*a));
+        }
+        for (host, session, attempt, grace, runs) in &p.placed {
+            each_run(runs, len, |i| {
+                b.0[i] = Slot::Placed(Placement {
+                    attempt: *attempt,
+                    host: host.clone(),
+                    session: *session,
+                    stop: grace.checked_sub(1).map(|ms| ms * 1000),
+                });
+            });
+        }
+        each_run(&p.done, len, |i| b.0[i] = Slot::Done);
+        b
+    }
+}
+
+/// A block as it stands in the state service. Every form is read for ever; which one is written
+/// depends on what the other controllers read and on the limits.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Stored {
+    /// Slot by slot: what every version reads.
+    Plain(Block),
+    /// Equal slots together.
+    Packed(Block),
+    /// The slots are in keys of their own, so many in each.
+    Split(u32),
+}
+
+impl Serialize for Stored {
+    fn serialize<S: serde::Serializer>(&self, s: S) -> Result<S::Ok, S::Error> {
+        match self {
+            Stored::Plain(b) => b.serialize(s),
+            Stored::Packed(b) => Packed::from(b).serialize(s),
+            Stored::Split(n) => Packed {
+                split: *n,
+                ..Packed::default()
+            }
+            .serialize(s),
+        }
+    }
+}
+
+impl<'de> Deserialize<'de> for Stored {
+    fn deserialize<D: serde::Deserializer<'de>>(d: D) -> Result<Stored, D::Error> {
+        struct Any;
+        impl<'de> serde::de::Visitor<'de> for Any {
+            type Value = Stored;
+            fn expecting(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                f.write_str("a block")
+            }
+            fn visit_seq<A: serde::de::SeqAccess<'de>>(self, mut a: A) -> Result<Stored, A::Error> {
+                let mut b = Block::default();
+                while let Some(w) = a.next_element::<Wire>()? {
+                    b.0.push(w.into());
+                }
+                Ok(Stored::Plain(b))
+            }
+            fn visit_map<A: serde::de::MapAccess<'de>>(self, a: A) -> Result<Stored, A::Error> {
+                let p = Packed::deserialize(serde::de::value::MapAccessDeserializer::new(a))?;
+                Ok(match p.split {
+                    0 => Stored::Packed(p.into()),
+                    n => Stored::Split(n.min(BLOCK)),
                 })
-                .collect(),
-        ))
+            }
+        }
+        d.deserialize_any(Any)
     }
 }
 
@@ -327,6 +541,10 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Record(pub Spec, pub Block);
 
+/// The same as it is read, whatever version wrote it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct AnyRecord(pub Spec, pub Stored);
+
 /// How a job ended. Kept for ever.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Final {
@@ -336,6 +554,14 @@
     /// Tasks done.
     #[serde(rename = "d")]
     pub done: u32,
+    /// Time of day of the end: the jobs that waited for this one count from here. 0 if the version
+    /// that wrote it did not say.
+    #[serde(rename = "at", default, skip_serializing_if = "is_never")]
+    pub at: Micros,
+}
+
+fn is_never(at: &Micros) -> bool {
+    *at == 0
 }
 
 /// A task's name on the wire.
--- a/src/members/keep.rs
+++ b/src/members/keep.rs
@@ -1,11 +1,11 @@
 //! Keeping membership, leadership and parts; talking with peers.
 
-use super::{Leader, Member, PARTS, Part, assign};
+use super::{Leader, Member, PARTS, Part, all_know, assign};
 use crate::hosts::model::HostState;
 use crate::node::{Node, PeerState};
 use crate::store::client::Outcome;
 use crate::store::keys;
-use crate::store::view::View;
+use crate::store::view::{VERSION, Version, View};
 use crate::time::{MILLI, Micros, SECOND, wall};
 use crate::wire::peer::{Hello, PEER, pack, unpack};
 use crate::wire::server::Reply;
@@ -66,6 +66,7 @@
                     lease: id,
                     since,
                     shunned,
+                    version: VERSION,
                 };
                 let t = Txn {
                     guards: Vec::new(),
@@ -84,10 +85,57 @@
                     _ => {}
                 }
             }
+            self.settle_layout().await;
             self.sleep(ttl / 4).await;
         }
     }
 
+    /// Says durably that we know the newer layout, and puts it in force once all controllers of the
+    /// settings said so. Until then everything is written as the version before reads it.
+    async fn settle_layout(&self) {
+        let t = {
+            let v = self.view.borrow();
+            if v.layout.is_some() {
+                return;
+            }
+            let mine = keys::version(self.me());
+            let mut t = Txn::default();
+            let names = || {
+                let others = self.settings.siblings.iter().map(|s| s.name.as_str());
+                others.chain([self.me()])
+            };
+            let know = v.versions.get(self.me());
+            let put = if know.is_none_or(|x| x.version < VERSION) {
+                mine
+            } else if all_know(names(), &v.versions, &v.members) {
+                t.guards.push(Guard {
+                    path: keys::LAYOUT.into(),
+                    stamp: 0,
+                });
+                keys::LAYOUT.into()
+            } else {
+                return;
+            };
+            t.then.push(Change::Put {
+                put,
+                v: to_value(&Version { version: VERSION }),
+                permit: None,
+            });
+            t
+        };
+        match self.store.txn(&t).await {
+            Outcome::Done(rev) => {
+                self.wrote(&t, rev);
+                if self.view.borrow().layout.is_some() {
+                    tracing::info!("every controller knows the newer layout: in force");
+                }
+            }
+            _ => {
+                self.barrier().await;
+            }
+        }
+    }
+
     /// Takes the parts that fall to us.
     pub async fn parts_loop(self: Rc<Node>) {
         loop {
@@ -127,6 +175,7 @@
             // At the very start the others come up within moments: one round of taking is enough.
             return None;
         }
+        let ops = self.state_limits().txn_ops;
         let settled = wall().saturating_sub(SETTLED);
         let want = assign(&v.parts, &self.living(&v), settled);
         let mut raise = self.raise.borrow_mut();
@@ -144,7 +193,7 @@
             }
             let have = v.parts.get(&n);
             let ours = have.is_some_and(|p| p.owner == self.me() && p.lease == lease);
-            if (ours && !raise.remove(&n)) || t.then.len() >= self.settings.txn_ops {
+            if (ours && !raise.remove(&n)) || t.then.len() >= ops {
                 continue;
             }
             let key = keys::part(n);
--- a/src/members/mod.rs
+++ b/src/members/mod.rs
@@ -2,6 +2,7 @@
 
 mod keep;
 
+use crate::store::view::{VERSION, Version};
 use fnv::FnvHasher;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -22,6 +23,9 @@
     /// Its workers cannot reach it: it wants no parts.
     #[serde(rename = "h", default)]
     pub shunned: bool,
+    /// The layout that it reads and writes; versions before the second say nothing.
+    #[serde(rename = "v", default)]
+    pub version: u32,
 }
 
 /// The leader; its key hangs on its lease.
@@ -58,6 +62,19 @@
     (x ^ (x >> 29)).wrapping_mul(0xbf58_476d_1ce4_e5b9) >> 16
 }
 
+/// Whether every controller that the settings name has written durably that it knows the layout, and
+/// none that is alive says otherwise. A list of those alive would not do: a process that died before
+/// its turn comes back with the old version.
+pub fn all_know<'a>(
+    names: impl Iterator<Item = &'a str>,
+    versions: &BTreeMap<String, Version>,
+    members: &BTreeMap<String, Member>,
+) -> bool {
+    let mut names = names;
+    names.all(|n| versions.get(n).is_some_and(|v| v.version >= VERSION))
+        && members.values().all(|m| m.version >= VERSION)
+}
+
 /// The part that a machine belongs to.
 pub fn part_of(host: &str) -> u32 {
     (hash(host) % u64::from(PARTS)) as u32
@@ -161,7 +178,7 @@
             let parts: BTreeMap<u32, Part> = owners.iter().enumerate()
                 .map(|(i, o)| (i as u32, Part { owner: names[*o].into(), lease: *o as u64, term: 3 })).collect();
             let members: BTreeMap<String, Member> = (0..3).filter(|i| alive[*i])
-                .map(|i| (names[i].to_string(), Member { lease: i as u64, since: 0, shunned: shunned[i] })).collect();
+                .map(|i| (names[i].to_string(), Member { lease: i as u64, since: 0, shunned: shunned[i], version: 0 })).collect();
             let out = assign(&parts, &members, 0);
             prop_assert_eq!(out.len(), if members.is_empty() { 0 } else { PARTS as usize });
             prop_assert!(out.values().all(|o| members.contains_key(o)));
--- a/src/node.rs
+++ b/src/node.rs
@@ -2,11 +2,11 @@
 
 use crate::hosts::model::{Host, HostState};
 use crate::jobs::commit::{Intent, Limits, Staged, stage, sweep};
-use crate::jobs::model::{JobId, Room, Slot};
+use crate::jobs::model::{Final, JobId, Room, Slot};
 use crate::members::{PARTS, part_of};
 use crate::placement::{self, Open, Scene};
 use crate::policy::Policy;
-use crate::settings::Settings;
+use crate::settings::{Settings, StateLimits};
 use crate::store::client::{Outcome, StoreClient};
 use crate::store::keys;
 use crate::store::view::{Job, View};
@@ -155,6 +155,12 @@
 /// A view that was not read for so long counts as cut off from the state service.
 const STALE: Micros = 3 * SECOND;
 
+/// Bytes of a value that stay free: what is counted beside the value itself is not known.
+const VALUE_RESERVE: usize = 48;
+/// How often jobs are looked for of which nothing is known, and how many of them each time.
+const GATES: Micros = SECOND / 5;
+const GATES_AT_ONCE: usize = 20;
+
 /// The owner of this part places gangs.
 const GANGS: u32 = 0;
 
@@ -162,7 +168,7 @@
 fn patience(j: &Job, lefts: &[Intent]) -> Micros {
     let done = |i: &Intent| matches!(i, Intent::Left { done: true, .. });
     let all = lefts.len() as u32 >= j.placed;
-    if j.spec.cancelled {
+    if j.cancelled() {
         // Its user has the answer, and the room is known to be free.
         return if all { SOON } else { LAZY };
     }
@@ -204,8 +210,8 @@
                 http.clone(),
                 settings.state,
                 clock,
-                settings.state_rps * REQUEST_SHARE / (settings.siblings.len() + 1) as f64,
-                settings.write_rps * WRITE_SHARE / (settings.siblings.len() + 1) as f64,
+                settings.limits.rps * REQUEST_SHARE / (settings.siblings.len() + 1) as f64,
+                settings.limits.write_rps * WRITE_SHARE / (settings.siblings.len() + 1) as f64,
             ),
             settings,
             policy,
@@ -263,6 +269,7 @@
         spawn!(lead_loop);
         spawn!(counts_loop);
         spawn!(peer_loop);
+        spawn!(gates_loop);
         let gauge = Rc::new(Gauge::default());
         // Some sockets stay for our own calls.
         let max = self.settings.max_connections * 9 / 10;
@@ -499,12 +506,64 @@
 
     // ---- control ----
 
+    /// Limits of the state service that we keep to. Lower ones come into force without notice, so
+    /// they are kept from the moment when every controller can.
+    pub fn state_limits(&self) -> StateLimits {
+        match (self.settings.next, self.view.borrow().layout) {
+            (Some(next), Some(_)) => next,
+            _ => self.settings.limits,
+        }
+    }
+
+    /// Bytes that a value may have, counted as JSON, with some reserve.
+    pub fn value_limit(&self) -> usize {
+        self.state_limits()
+            .value_bytes
+            .saturating_sub(VALUE_RESERVE)
+    }
+
     /// Limits of a transaction.
     pub fn limits(&self) -> Limits {
+        let layout = self.view.borrow().layout.is_some();
         Limits {
-            ops: self.settings.txn_ops,
+            ops: self.state_limits().txn_ops,
             merge: (self.store.write_level().1 / 2.0) as usize,
             bytes: 48 * 1024,
+            value: self.value_limit(),
+            layout,
+            packed: layout && self.settings.next.is_some(),
+            wall: wall(),
+        }
+    }
+
+    /// Asks how jobs ended that others wait for and of which nothing is at hand: final states are
+    /// not loaded at the start.
+    async fn gates_loop(self: Rc<Node>) {
+        loop {
+            self.sleep(GATES).await;
+            if !self.loaded.get() || !self.state_ok() {
+                continue;
+            }
+            let list = self.view.borrow().unknown_gates();
+            for id in list.iter().take(GATES_AT_ONCE) {
+                if self.read_final(id).await.is_err() {
+                    break;
+                }
+            }
+        }
+    }
+
+    /// Reads how a job ended: `None` if no final state is there.
+    pub async fn read_final(&self, id: &JobId) -> Result<Option<Final>, WireError> {
+        match self.store.get(&keys::fin(id), SECOND).await? {
+            Ok(item) => {
+                let f: Final = crate::wire::from_value(&item.v)
+                    .ok_or_else(|| WireError::Malformed(keys::fin(id)))?;
+                self.view.borrow_mut().remember(id, f);
+                self.wake();
+                Ok(Some(f))
+            }
+            Err(_) => Ok(None),
         }
     }
 
@@ -586,10 +645,9 @@
             .members
             .len()
             .clamp(1, self.settings.siblings.len() + 1) as f64;
-        self.store.share(
-            self.settings.state_rps * REQUEST_SHARE / n,
-            self.settings.write_rps * WRITE_SHARE / n,
-        );
+        let l = self.state_limits();
+        self.store
+            .share(l.rps * REQUEST_SHARE / n, l.write_rps * WRITE_SHARE / n);
     }
 
     /// What the machines' reports prove.
@@ -649,7 +707,7 @@
         drop(since);
         // What is over, and what was withdrawn before it was placed.
         for (id, j) in &view.jobs {
-            if (j.spec.cancelled && j.placed == 0) || j.done == j.spec.tasks {
+            if (j.cancelled() && j.placed == 0) || j.done == j.spec.tasks {
                 first.push(Intent::Settle { job: id.clone() });
             }
         }
@@ -733,12 +791,9 @@
             && view
                 .jobs
                 .values()
-                .any(|j| j.spec.kind == Shape::Gang && j.waiting > 0);
+                .any(|j| j.spec.kind == Shape::Gang && j.queued() > 0);
         let serves = view.jobs.iter().any(|(id, j)| {
-            j.spec.kind == Shape::Service
-                && j.waiting > 0
-                && !j.spec.cancelled
-                && terms[part_of(id) as usize].is_some()
+            j.spec.kind == Shape::Service && j.queued() > 0 && terms[part_of(id) as usize].is_some()
         });
         let open = |id: &Rc<str>, h: &Host| {
             if !matches!(h.state, HostState::Up | HostState::Booting) {
@@ -788,7 +843,7 @@
                 (true, Shape::Service) => TAKE_SERVICE,
                 _ => TAKE_ARRAY,
             };
-            wall().saturating_sub(job.spec.submitted) < wait
+            wall().saturating_sub(job.since) < wait
         };
         placement::plan(&Scene {
             view,
@@ -827,11 +882,18 @@
 
     /// Deletes what jobs that are over left behind.
     pub async fn clean(&self) {
-        let t = sweep(&self.view.borrow(), self.limits());
-        if let Some(t) = t
-            && let Outcome::Done(rev) = self.store.txn(&t).await
-        {
-            self.wrote(&t, rev);
+        loop {
+            let t = sweep(&self.view.borrow(), self.limits());
+            let Some(t) = t else { return };
+            match self.store.txn(&t).await {
+                Outcome::Done(rev) => self.wrote(&t, rev),
+                _ => return,
+            }
+            // More of it only with writes that nobody else needs.
+            let (level, burst) = self.store.write_level();
+            if level < burst * KEEP_BOOKS {
+                return;
+            }
         }
     }
 }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -183,17 +183,17 @@
 /// an aim of their class before those that cannot, and of the former the least work first.
 fn turn(s: &Scene<'_>, job: &Job) -> (bool, u64) {
     let spec = &job.spec;
-    let age = s.wall.saturating_sub(spec.submitted);
+    let age = s.wall.saturating_sub(job.since);
     let mut aims = s
         .objectives
         .iter()
-        .filter(|o| o.class == spec.class)
+        .filter(|o| o.class == spec.class && o.kind != ObjectiveKind::Deadline)
         .peekable();
     let hopeless = aims.peek().is_some()
         && aims.all(|o| {
             let run = match o.kind {
                 ObjectiveKind::Finished => spec.estimate,
-                ObjectiveKind::Wait => 0,
+                _ => 0,
             };
             age + run > o.within
         });
@@ -244,13 +244,15 @@
     for j in v.jobs.values() {
         let team: &str = &j.spec.team;
         let r = &j.spec.room;
-        for (m, n) in [(&mut usage, j.placed), (&mut demand, j.placed + j.waiting)] {
+        // What waits for other jobs holds no part of its team's guarantee or limit.
+        let waits = if j.ready { j.waiting } else { 0 };
+        for (m, n) in [(&mut usage, j.placed), (&mut demand, j.placed + waits)] {
             let u = m.entry(team).or_insert(Usage { cpus: 0, gpus: 0 });
             u.cpus += r.cpus * i64::from(n);
             u.gpus += r.gpus * i64::from(n);
         }
         if r.gpus > 0 {
-            gpus.waits |= j.waiting > 0 && !j.spec.cancelled;
+            gpus.waits |= j.queued() > 0;
             gpus.need = Room {
                 cpus: gpus.need.cpus.max(r.cpus),
                 gpus: gpus.need.gpus.max(r.gpus),
@@ -273,8 +275,7 @@
     let mut queue: Vec<Entry<'_>> = Vec::new();
     for (id, job) in &v.jobs {
         let kind = job.spec.kind;
-        if job.waiting == 0
-            || job.spec.cancelled
+        if job.queued() == 0
             || (kind == Shape::Gang && !s.gangs)
             || (kind == Shape::Array && !s.arrays)
             || (!s.forecast && (s.held_back)(id))
@@ -307,13 +308,13 @@
         }
     }
     queue.sort_by(|a, b| {
-        (!a.entitled, a.job.spec.rank)
-            .cmp(&(!b.entitled, b.job.spec.rank))
+        (!a.entitled, a.job.rank)
+            .cmp(&(!b.entitled, b.job.rank))
             .then(a.turn.0.cmp(&b.turn.0))
             .then(b.home.cmp(&a.home))
             .then((b.raised > 0).cmp(&(a.raised > 0)))
             .then(a.turn.cmp(&b.turn))
-            .then(a.job.spec.submitted.cmp(&b.job.spec.submitted))
+            .then(a.job.since.cmp(&b.job.since))
             .then(a.id.cmp(b.id))
     });
     let mut reserved = false;
@@ -346,7 +347,7 @@
             got = gang(v, spec, &mut spots, &gpus, s.forecast, &mut out);
             if got.is_empty() {
                 missing = spec.tasks;
-                if !reserved && s.wall.saturating_sub(spec.submitted) > GANG_PATIENCE {
+                if !reserved && s.wall.saturating_sub(e.job.since) > GANG_PATIENCE {
                     reserved = true;
                     for sp in spots.iter_mut() {
                         if spec.room.gpus > 0 && allowed(spec, sp.host) && sp.free.fits(&spec.room)
@@ -361,7 +362,7 @@
             let kind = kind_of(spec);
             let blocked = !zoned && full.contains(&kind) && !(e.home && kind.1);
             let pushes = !s.forecast
-                && (e.home || s.wall.saturating_sub(spec.submitted) > OTHERS_PUSH)
+                && (e.home || s.wall.saturating_sub(e.job.since) > OTHERS_PUSH)
                 && (spec.rank <= Rank::High || e.entitled);
             if blocked && (!pushes || stuck.contains(&(kind, spec.rank))) {
                 missing = e.count as u32;
@@ -539,7 +540,7 @@
     };
     if s.gangs {
         for (id, job) in &v.jobs {
-            if job.placed == 0 || job.spec.kind != Shape::Gang || job.spec.cancelled {
+            if job.placed == 0 || job.spec.kind != Shape::Gang || job.cancelled() {
                 continue;
             }
             let broken = job.waiting > 0;
@@ -569,7 +570,7 @@
             continue;
         }
         for ((id, index), p) in v.tasks_on(host).into_iter().flatten() {
-            let Some(j) = v.jobs.get(id).filter(|j| !j.spec.cancelled) else {
+            let Some(j) = v.jobs.get(id).filter(|j| !j.cancelled()) else {
                 continue;
             };
             let grace = match j.spec.kind {
@@ -767,7 +768,7 @@
             continue;
         };
         g.sum.give(&j.spec.room);
-        if p.stop.is_none() && !j.spec.cancelled {
+        if p.stop.is_none() && !j.cancelled() {
             g.list.push(Intent::Stop {
                 job: id.clone(),
                 index: *index,
@@ -788,7 +789,7 @@
     };
     for ((id, i), p) in v.tasks_on(&sp.id).into_iter().flatten() {
         let Some(j) = v.jobs.get(id) else { continue };
-        if p.stop.is_some() || j.spec.cancelled {
+        if p.stop.is_some() || j.cancelled() {
             s.stopping.give(&j.spec.room);
         } else if j.spec.rank > spec.rank
             && j.spec.rank >= Rank::Normal
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -87,6 +87,8 @@
     within_s: f64,
     #[serde(default)]
     share: f64,
+    #[serde(default)]
+    times: Option<f64>,
 }
 #[derive(Deserialize)]
 struct RawWorkers {
@@ -102,6 +104,15 @@
     write_rps: f64,
     value_kb: f64,
     txn_ops: usize,
+    #[serde(default)]
+    next: Option<RawNext>,
+}
+#[derive(Deserialize)]
+struct RawNext {
+    rps: Option<f64>,
+    write_rps: Option<f64>,
+    value_kb: Option<f64>,
+    txn_ops: Option<usize>,
 }
 #[derive(Deserialize)]
 struct RawCloud {
@@ -155,6 +166,8 @@
     Wait,
     /// Time until a job is done.
     Finished,
+    /// Done by this many times the deadline that its user set.
+    Deadline,
 }
 
 /// An aim for a class of jobs.
@@ -168,6 +181,28 @@
     pub within: Micros,
     /// This share.
     pub share: f64,
+    /// Multiple of the job's own deadline, in thousandths.
+    pub times: u64,
+}
+
+/// Limits of the state service.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct StateLimits {
+    /// Requests per second.
+    pub rps: f64,
+    /// Changes per second.
+    pub write_rps: f64,
+    /// Bytes of a value, counted as JSON.
+    pub value_bytes: usize,
+    /// Changes of a transaction.
+    pub txn_ops: usize,
+}
+
+impl StateLimits {
+    /// Conditions that a transaction may have.
+    pub fn guards(&self) -> usize {
+        self.txn_ops * 4
+    }
 }
 
 /// Everything that the platform hands over.
@@ -205,14 +240,10 @@
     pub gang_peer: Micros,
     /// Time for a cancellation.
     pub cancel: Micros,
-    /// State requests per second.
-    pub state_rps: f64,
-    /// State changes per second.
-    pub write_rps: f64,
-    /// Bytes of a value.
-    pub value_bytes: usize,
-    /// Changes of a transaction.
-    pub txn_ops: usize,
+    /// Limits of the state service as they are.
+    pub limits: StateLimits,
+    /// The lower of these and of those that are announced; none are announced if this is not set.
+    pub next: Option<StateLimits>,
     /// Cloud requests per second.
     pub cloud_rps: f64,
     /// Lag of the machine list.
@@ -230,6 +261,10 @@
     (v * 1000.0).round() as i64
 }
 
+/// The smallest values and transactions with which this program can work.
+const LEAST_VALUE_KB: f64 = 1.0;
+const LEAST_OPS: usize = 4;
+
 impl Settings {
     /// Reads and checks a settings file.
     pub fn load(path: &Path) -> Result<Settings, SettingsError> {
@@ -286,6 +321,49 @@
         if d.state.txn_ops == 0 {
             return Err(fail("deployment.state.txn_ops", "0 is too few".into()));
         }
+        let limits = StateLimits {
+            rps: d.state.rps,
+            write_rps: d.state.write_rps,
+            value_bytes: (d.state.value_kb * 1024.0) as usize,
+            txn_ops: d.state.txn_ops,
+        };
+        let next = match &d.state.next {
+            None => None,
+            Some(n) => {
+                for (name, v) in [("rps", n.rps), ("write_rps", n.write_rps)] {
+                    if let Some(v) = v {
+                        positive(&format!("deployment.state.next.{name}"), v)?;
+                    }
+                }
+                // A job's record and a transaction that splits one must be possible at all.
+                if n.value_kb
+                    .is_some_and(|v| !v.is_finite() || v < LEAST_VALUE_KB)
+                {
+                    return Err(fail(
+                        "deployment.state.next.value_kb",
+                        format!("less than {LEAST_VALUE_KB}"),
+                    ));
+                }
+                if n.txn_ops.is_some_and(|v| v < LEAST_OPS) {
+                    return Err(fail(
+                        "deployment.state.next.txn_ops",
+                        format!("fewer than {LEAST_OPS}"),
+                    ));
+                }
+                Some(StateLimits {
+                    rps: n.rps.unwrap_or(limits.rps).min(limits.rps),
+                    write_rps: n
+                        .write_rps
+                        .unwrap_or(limits.write_rps)
+                        .min(limits.write_rps),
+                    value_bytes: n
+                        .value_kb
+                        .map_or(limits.value_bytes, |v| (v * 1024.0) as usize)
+                        .min(limits.value_bytes),
+                    txn_ops: n.txn_ops.unwrap_or(limits.txn_ops).min(limits.txn_ops),
+                })
+            }
+        };
         if d.machine_limits.max_connections < 16 {
             return Err(fail(
                 "deployment.machine_limits.max_connections",
@@ -328,11 +406,14 @@
                         kind: match o.kind.as_str() {
                             "wait" => ObjectiveKind::Wait,
                             "finished" => ObjectiveKind::Finished,
+                            "deadline" => ObjectiveKind::Deadline,
                             _ => return None,
                         },
                         class: o.class.clone(),
                         within: from_secs(o.within_s),
                         share: o.share,
+                        times: (o.times.filter(|t| t.is_finite()).unwrap_or(1.0).max(0.0) * 1000.0)
+                            as u64,
                     })
                 })
                 .collect(),
@@ -341,10 +422,8 @@
             gang_wait: positive("deployment.workers.gang_wait_s", d.workers.gang_wait_s)?,
             gang_peer: positive("deployment.workers.gang_peer_s", d.workers.gang_peer_s)?,
             cancel: positive("deployment.workers.cancel_s", d.workers.cancel_s)?,
-            state_rps: d.state.rps,
-            write_rps: d.state.write_rps,
-            value_bytes: (d.state.value_kb * 1024.0) as usize,
-            txn_ops: d.state.txn_ops,
+            limits,
+            next,
             cloud_rps: d.cloud.rps,
             list_lag: from_secs(d.cloud.list_lag_s),
             max_connections: d.machine_limits.max_connections,
--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -179,8 +179,13 @@
                     .unwrap_or_default(),
             ),
             Ok(a) if matches!(a.status, 400 | 429 | 503) => {
-                if a.status == 400 {
-                    tracing::warn!(
+                if a.status == 400 && !String::from_utf8_lossy(&a.body).contains("no such lease") {
+                    // A lease that ended says so; anything else is a fault of ours.
+                    tracing::error!(
+                        first = t.then.first().map(state::Change::key),
+                        changes = t.then.len(),
+                        guards = t.guards.len(),
+                        largest = t.largest(),
                         "transaction refused: {}",
                         String::from_utf8_lossy(&a.body).replace('\n', " ")
                     );
--- a/src/store/keys.rs
+++ b/src/store/keys.rs
@@ -9,13 +9,19 @@
     "c/counts/",
     "c/host/",
     "c/job/",
+    "c/layout",
     "c/leader",
     "c/member/",
+    "c/needs/",
     "c/part/",
     "c/raises",
+    "c/slots/",
     "c/team/",
     "c/types",
+    "c/version/",
 ];
+/// Written once every controller of the settings reads the newer forms of values. Never deleted.
+pub const LAYOUT: &str = "c/layout";
 /// The leader.
 pub const LEADER: &str = "c/leader";
 /// Raises of the last round.
@@ -31,6 +37,23 @@
 pub fn block(id: &str, n: u32) -> String {
     format!("c/block/{id}/{n}")
 }
+/// One of the keys that a block was split into, of `per` slots each. They hold the block's slots once
+/// the block says so, and mean nothing before.
+pub fn slots(id: &str, n: u32, per: u32, k: u32) -> String {
+    format!("c/slots/{id}/{n}/{per}/{k}")
+}
+/// Jobs that a job waits for, beyond those in its record.
+pub fn needs(id: &str, k: u32) -> String {
+    format!("c/needs/{id}/{k}")
+}
+/// One machine type, where all of them do not fit into one value.
+pub fn machine_type(sku: &str) -> String {
+    format!("{TYPES}/{}", safe(sku))
+}
+/// That a controller runs a version that knows the newer layout.
+pub fn version(node: &str) -> String {
+    format!("c/version/{node}")
+}
 /// How it ended.
 pub fn fin(id: &str) -> String {
     format!("c/final/{id}")
@@ -57,11 +80,13 @@
 }
 /// Serialises the placements of a capped team.
 pub fn team(name: &str) -> String {
-    // Names come from the settings; a key holds no spaces and at most 200 bytes.
-    let safe: String = name
-        .chars()
+    format!("c/team/{}", safe(name))
+}
+
+/// Names come from the settings or the cloud; a key holds no spaces and at most 200 bytes.
+fn safe(name: &str) -> String {
+    name.chars()
         .map(|c| if c.is_whitespace() { '_' } else { c })
         .take(40)
-        .collect();
-    format!("c/team/{safe}")
+        .collect()
 }
--- a/src/store/view.rs
+++ b/src/store/view.rs
@@ -4,14 +4,17 @@
 use crate::fairness::{Counts, Raises};
 use crate::hosts::model::{Charter, Host};
 use crate::jobs::model::{
-    BLOCK, Block, Final, JobId, Placement, Record, Room, Slot, Spec, blocks, fresh,
+    AnyRecord, BLOCK, Block, Final, Ids, JobId, Placement, Room, Slot, Spec, Stored, blocks, fresh,
 };
 use crate::members::{Leader, Member, Part};
 use crate::store::keys;
+use crate::time::{Micros, SECOND};
 use crate::wire::cloud::MachineType;
 use crate::wire::from_value;
+use crate::wire::user::Rank;
 use ciborium::Value;
-use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::rc::Rc;
 
 /// A job with its blocks.
@@ -26,9 +29,43 @@
     pub placed: u32,
     /// Slots done.
     pub done: u32,
+    /// For each block: into keys of how many slots it was split; 0 if it is whole.
+    pub split: Vec<u32>,
+    /// Jobs that it waits for, as far as they were not done when it was submitted.
+    pub needs: Vec<JobId>,
+    /// Every job that it needs has its durable `done`. The one test that everything which starts,
+    /// rents for or counts tasks goes through: a job that is not seen is not proved to be done.
+    pub ready: bool,
+    /// A job that it needs, directly or through others, is cancelled: then so is this one. It never
+    /// started, since that one never got done.
+    pub doomed: bool,
+    /// From when its waits count: its submission, or the end of the last job that it needed.
+    pub since: Micros,
+    /// Its own rank, or the highest of those that need it.
+    pub rank: Rank,
+    /// When it must end for its pipeline to keep its deadline: time of day.
+    pub due: Option<Micros>,
+    /// Whether it needs others or others need it.
+    pub piped: bool,
 }
 
+/// What one step of a pipeline takes beyond its run: the end is heard of and written, the next one
+/// is placed, told and fetches its image.
+const HANDOVER: Micros = 4 * SECOND;
+
 impl Job {
+    /// Whether it is cancelled, by its own user or with a job that it needs.
+    pub fn cancelled(&self) -> bool {
+        self.spec.cancelled || self.doomed
+    }
+    /// Tasks that may start now.
+    pub fn queued(&self) -> u32 {
+        if self.ready && !self.cancelled() {
+            self.waiting
+        } else {
+            0
+        }
+    }
     /// A slot.
     pub fn slot(&self, i: u32) -> Option<&Slot> {
         self.blocks
@@ -70,7 +107,19 @@
     /// Unfinished jobs.
     pub jobs: BTreeMap<JobId, Job>,
     /// Block keys that exist; with their slots only while the job itself is not known.
-    raw_blocks: HashMap<JobId, BTreeMap<u32, Option<Block>>>,
+    raw_blocks: HashMap<JobId, BTreeMap<u32, Option<Stored>>>,
+    /// Keys that blocks were split into, or are about to be: block, slots in each, number.
+    leaves: HashMap<JobId, BTreeMap<(u32, u32, u32), Block>>,
+    /// Jobs that jobs need, as far as their records do not hold them.
+    need_keys: HashMap<JobId, BTreeMap<u32, Vec<JobId>>>,
+    /// By job: the unfinished ones that need it.
+    dependents: HashMap<JobId, BTreeSet<JobId>>,
+    /// Final states of jobs that unfinished ones need: kept as long as these are there.
+    gates: HashMap<JobId, Final>,
+    /// Versions that controllers were started with.
+    pub versions: BTreeMap<String, Version>,
+    /// The newer layout, once every controller of the settings reads it.
+    pub layout: Option<Version>,
     /// Machines.
     pub hosts: BTreeMap<Rc<str>, Host>,
     /// Rentals under way.
@@ -97,6 +146,17 @@
     pub epoch: u64,
 }
 
+/// The layout that a controller reads and writes.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Version {
+    /// Number.
+    #[serde(rename = "v")]
+    pub version: u32,
+}
+
+/// The layout of this version of the program: packed and split blocks, pipelines.
+pub const VERSION: u32 = 2;
+
 const TOMBS: usize = 20_000;
 const FINALS: usize = 20_000;
 
@@ -179,10 +239,48 @@
             "counts" => put(&mut self.counts, id.to_string(), v),
             "raises" => self.raises = v.and_then(from_value).unwrap_or_default(),
             "types" => {
-                if let Some(t) = v.and_then(from_value::<Vec<MachineType>>) {
+                // All in one value, or each in one of its own where that would be too large.
+                if !id.is_empty() {
+                    if let Some(t) = v.and_then(from_value::<MachineType>) {
+                        self.types.insert(t.sku.clone(), t);
+                    }
+                } else if let Some(t) = v.and_then(from_value::<Vec<MachineType>>) {
                     self.types = t.into_iter().map(|t| (t.sku.clone(), t)).collect();
                 }
             }
+            "version" => put(&mut self.versions, id.to_string(), v),
+            "layout" => self.layout = v.and_then(from_value).or(self.layout),
+            "needs" => {
+                let Some((id, Ok(k))) = id.split_once('/').map(|(i, k)| (i, k.parse())) else {
+                    return;
+                };
+                let id: JobId = id.into();
+                let known = self.need_keys.entry(id.clone()).or_default();
+                match v.and_then(from_value::<Ids>) {
+                    Some(Ids(list)) => {
+                        known.insert(k, list);
+                    }
+                    None => {
+                        known.remove(&k);
+                    }
+                }
+                if known.is_empty() {
+                    self.need_keys.remove(&id);
+                }
+                self.link(&id);
+            }
+            "slots" => {
+                let mut parts = id.split('/');
+                let (Some(id), Some(n), Some(per), Some(k)) =
+                    (parts.next(), parts.next(), parts.next(), parts.next())
+                else {
+                    return;
+                };
+                let (Ok(n), Ok(per), Ok(k)) = (n.parse(), per.parse(), k.parse()) else {
+                    return;
+                };
+                self.put_leaf(&id.into(), (n, per, k), v.and_then(from_value));
+            }
             "host" => {
                 let id: Rc<str> = id.into();
                 if v.is_none() {
@@ -202,11 +300,10 @@
             }
             "job" => {
                 let id: JobId = id.into();
-                match v.and_then(from_value::<Record>) {
-                    Some(Record(spec, first)) => {
+                match v.and_then(from_value::<AnyRecord>) {
+                    Some(AnyRecord(spec, first)) => {
                         self.put_job(id.clone(), Rc::new(spec));
-                        let first = (!first.0.is_empty()).then_some(first);
-                        self.put_block(&id, 0, first);
+                        self.put_stored(&id, 0, Some(first));
                     }
                     None => self.drop_job(&id),
                 }
@@ -218,7 +315,7 @@
                 let (id, Ok(n)): (JobId, Result<u32, _>) = (id.into(), n.parse()) else {
                     return;
                 };
-                let b: Option<Block> = v.and_then(from_value);
+                let b: Option<Stored> = v.and_then(from_value);
                 let known = self.raw_blocks.entry(id.clone()).or_default();
                 match (&b, self.jobs.contains_key(&id)) {
                     (None, _) => {
@@ -234,12 +331,203 @@
                         known.insert(n, Some(b.clone()));
                     }
                 }
-                self.put_block(&id, n, b);
+                self.put_stored(&id, n, b);
             }
             _ => {}
         }
     }
 
+    /// A block as its key holds it.
+    fn put_stored(&mut self, id: &JobId, n: u32, v: Option<Stored>) {
+        let Some(j) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let Some(split) = j.split.get_mut(n as usize) else {
+            return;
+        };
+        let b = match v {
+            None => {
+                *split = 0;
+                None
+            }
+            Some(Stored::Plain(b) | Stored::Packed(b)) => {
+                *split = 0;
+                (!b.0.is_empty()).then_some(b)
+            }
+            Some(Stored::Split(per)) => {
+                *split = per;
+                let mut b = j.blocks[n as usize].clone();
+                for ((m, p, k), leaf) in self.leaves.get(id).into_iter().flatten() {
+                    if (*m, *p) == (n, per) {
+                        overlay(&mut b, per, *k, leaf);
+                    }
+                }
+                Some(b)
+            }
+        };
+        self.put_block(id, n, b);
+    }
+
+    /// One of the keys that a block was split into. It counts once the block says so.
+    fn put_leaf(&mut self, id: &JobId, at: (u32, u32, u32), v: Option<Stored>) {
+        let (n, per, k) = at;
+        let known = self.leaves.entry(id.clone()).or_default();
+        let Some(Stored::Plain(leaf) | Stored::Packed(leaf)) = v else {
+            known.remove(&at);
+            if known.is_empty() {
+                self.leaves.remove(id);
+            }
+            return;
+        };
+        known.insert(at, leaf.clone());
+        let Some(j) = self.jobs.get(id) else { return };
+        if per > 0 && j.split.get(n as usize) == Some(&per) {
+            let mut b = j.blocks[n as usize].clone();
+            overlay(&mut b, per, k, &leaf);
+            self.put_block(id, n, Some(b));
+        }
+    }
+
+    /// What such a key holds, whether it counts already or not.
+    pub fn leaf(&self, id: &str, n: u32, per: u32, k: u32) -> Option<&Block> {
+        self.leaves.get(id)?.get(&(n, per, k))
+    }
+
+    // ---- pipelines ----
+
+    /// Jobs that a job needs, once they are known.
+    fn link(&mut self, id: &JobId) {
+        let Some(j) = self.jobs.get_mut(id) else {
+            return;
+        };
+        if j.spec.needs.is_empty() {
+            return;
+        }
+        j.needs = j.spec.needs.jobs.0.clone();
+        for list in self.need_keys.get(id).into_iter().flatten() {
+            j.needs.extend(list.1.iter().cloned());
+        }
+        j.piped = true;
+        for n in j.needs.clone() {
+            let known = self.finals.get(&n).copied();
+            if let (Some(f), false) = (known, self.gates.contains_key(&n)) {
+                self.gates.insert(n.clone(), f);
+            }
+            if let Some(x) = self.jobs.get_mut(&n) {
+                x.piped = true;
+            }
+            self.dependents.entry(n).or_default().insert(id.clone());
+        }
+        self.refresh(vec![id.clone()]);
+        self.inherit(vec![id.clone()]);
+    }
+
+    /// Works out again whether jobs may start and whether they are cancelled with others. What
+    /// cancels a job cancels all behind it at the same moment: there is no write in between.
+    fn refresh(&mut self, mut list: Vec<JobId>) {
+        while let Some(id) = list.pop() {
+            let Some(j) = self.jobs.get(&id) else {
+                continue;
+            };
+            let known = self.need_keys.get(&id).map_or(0, BTreeMap::len);
+            let mut ready = known >= j.spec.needs.keys as usize;
+            let (mut doomed, mut since) = (false, j.spec.submitted);
+            for n in &j.needs {
+                match (self.gates.get(n), self.jobs.get(n)) {
+                    (Some(f), _) if !f.cancelled => since = since.max(f.at),
+                    (Some(_), _) => doomed = true,
+                    (None, Some(x)) => {
+                        ready = false;
+                        doomed |= x.cancelled();
+                    }
+                    (None, None) => ready = false,
+                }
+            }
+            let changed = j.doomed != doomed;
+            if let Some(j) = self.jobs.get_mut(&id) {
+                j.ready = ready && !doomed;
+                j.doomed = doomed;
+                j.since = since;
+            }
+            if changed {
+                self.epoch += 1;
+                list.extend(self.dependents.get(&id).into_iter().flatten().cloned());
+            }
+        }
+    }
+
+    /// Works out again which rank and time jobs have from those that need them.
+    fn inherit(&mut self, mut list: Vec<JobId>) {
+        while let Some(id) = list.pop() {
+            let Some(j) = self.jobs.get(&id) else {
+                continue;
+            };
+            let mut rank = j.spec.rank;
+            let mut due = j.spec.deadline.map(|d| j.spec.submitted + d);
+            for d in self.dependents.get(&id).into_iter().flatten() {
+                let Some(d) = self.jobs.get(d).filter(|d| !d.cancelled()) else {
+                    continue;
+                };
+                rank = rank.min(d.rank);
+                let before = d
+                    .due
+                    .map(|t| t.saturating_sub(d.spec.estimate.saturating_add(HANDOVER)));
+                due = match (due, before) {
+                    (Some(a), Some(b)) => Some(a.min(b)),
+                    (a, b) => a.or(b),
+                };
+            }
+            if (rank, due) == (j.rank, j.due) {
+                continue;
+            }
+            list.extend(j.needs.iter().cloned());
+            if let Some(j) = self.jobs.get_mut(&id) {
+                j.rank = rank;
+                j.due = due;
+            }
+        }
+    }
+
+    /// What is not known of the jobs that a job needs, directly or through others: neither among the
+    /// unfinished ones nor how they ended. Until it is, nothing can be said of this one.
+    pub fn unknown_above(&self, id: &str) -> Vec<JobId> {
+        let mut out = Vec::new();
+        let mut seen: HashSet<&str> = HashSet::new();
+        let mut list: Vec<&str> = vec![id];
+        while let Some(x) = list.pop() {
+            for n in self.jobs.get(x).into_iter().flat_map(|j| &j.needs) {
+                if self.gates.contains_key(n) || !seen.insert(n) {
+                    continue;
+                }
+                if self.jobs.contains_key(n) {
+                    list.push(n);
+                } else {
+                    out.push(n.clone());
+                }
+            }
+        }
+        out
+    }
+
+    /// The same for all jobs.
+    pub fn unknown_gates(&self) -> Vec<JobId> {
+        self.dependents
+            .keys()
+            .filter(|n| !self.gates.contains_key(*n) && !self.jobs.contains_key(*n))
+            .cloned()
+            .collect()
+    }
+
+    /// How a job ended, if it is at hand in whichever place.
+    pub fn ended(&self, id: &str) -> Option<Final> {
+        self.fin(id).or_else(|| self.gates.get(id).copied())
+    }
+
+    /// Whether a job is waited for by unfinished ones.
+    pub fn waited_for(&self, id: &str) -> bool {
+        self.dependents.contains_key(id)
+    }
+
     /// Machines that a charter names and that have no key yet stand in the view all the same: one
     /// write makes many machines known. Once written, a machine's own key says everything.
     fn derive_hosts(&mut self, old: Vec<String>, charter: &str) {
@@ -275,23 +563,45 @@
             self.drop_job(&id);
         }
         if let Some(j) = self.jobs.get_mut(&id) {
+            let withdrawn = spec.cancelled != j.spec.cancelled;
             j.spec = spec;
             let hosts: Vec<Rc<str>> = j.placements().map(|(_, p)| p.host.clone()).collect();
             self.touched.extend(hosts);
+            if let (true, Some(d)) = (withdrawn, self.dependents.get(&id)) {
+                let list: Vec<JobId> = d.iter().cloned().collect();
+                let needs = self.jobs.get(&id).map(|j| j.needs.clone());
+                self.refresh(list);
+                self.inherit(needs.unwrap_or_default());
+            }
             return;
         }
         let tasks = spec.tasks;
+        let alone = spec.needs.is_empty();
+        let waited_for = self.dependents.get(&id).cloned();
         self.jobs.insert(
             id.clone(),
             Job {
-                spec,
                 blocks: (0..blocks(tasks)).map(|n| fresh(tasks, n)).collect(),
                 waiting: tasks,
                 placed: 0,
                 done: 0,
+                split: vec![0; blocks(tasks) as usize],
+                needs: Vec::new(),
+                ready: alone,
+                doomed: false,
+                since: spec.submitted,
+                rank: spec.rank,
+                due: spec.deadline.map(|d| spec.submitted + d),
+                piped: waited_for.is_some(),
+                spec,
             },
         );
-        let known: Vec<(u32, Block)> = self
+        self.link(&id);
+        if let Some(d) = waited_for {
+            self.refresh(d.into_iter().collect());
+            self.inherit(vec![id.clone()]);
+        }
+        let known: Vec<(u32, Stored)> = self
             .raw_blocks
             .get_mut(&id)
             .into_iter()
@@ -299,7 +609,7 @@
             .filter_map(|(n, b)| Some((*n, b.take()?)))
             .collect();
         for (n, b) in known {
-            self.put_block(&id, n, Some(b));
+            self.put_stored(&id, n, Some(b));
         }
     }
 
@@ -307,14 +617,35 @@
         for n in 0..self.jobs.get(id).map_or(0, |j| j.blocks.len() as u32) {
             let written = self.raw_blocks.get(id).is_some_and(|m| m.contains_key(&n));
             let old = written
-                .then(|| self.jobs.get(id)?.blocks.get(n as usize).cloned())
+                .then(|| {
+                    let j = self.jobs.get(id)?;
+                    match j.split.get(n as usize) {
+                        Some(0) | None => j.blocks.get(n as usize).cloned().map(Stored::Plain),
+                        Some(per) => Some(Stored::Split(*per)),
+                    }
+                })
                 .flatten();
             self.put_block(id, n, None);
             if let (Some(old), Some(m)) = (old, self.raw_blocks.get_mut(id)) {
                 m.insert(n, Some(old));
             }
         }
-        self.jobs.remove(id);
+        let Some(j) = self.jobs.remove(id) else {
+            return;
+        };
+        for n in &j.needs {
+            if let Some(d) = self.dependents.get_mut(n) {
+                d.remove(id);
+                if d.is_empty() {
+                    self.dependents.remove(n);
+                    self.gates.remove(n);
+                }
+            }
+        }
+        self.inherit(j.needs);
+        if let Some(d) = self.dependents.get(id) {
+            self.refresh(d.iter().cloned().collect());
+        }
     }
 
     /// Sets a job's block and follows the slots that differ: the cost is that of the change.
@@ -376,6 +707,12 @@
 
     /// Keeps a final state at hand.
     pub fn remember(&mut self, id: &JobId, f: Final) {
+        if let Some(d) = self.dependents.get(id) {
+            let list = d.iter().cloned().collect();
+            self.gates.insert(id.clone(), f);
+            self.epoch += 1;
+            self.refresh(list);
+        }
         if self.finals.insert(id.clone(), f).is_none() {
             self.final_order.push_back(id.clone());
             while self.final_order.len() > FINALS {
@@ -391,13 +728,38 @@
         self.finals.get(id).copied()
     }
 
-    /// Block keys that belong to no job.
-    pub fn orphans(&self) -> Vec<(JobId, u32)> {
-        self.raw_blocks
-            .iter()
-            .filter(|(id, _)| !self.jobs.contains_key(*id))
-            .flat_map(|(id, m)| m.keys().map(move |n| (id.clone(), *n)))
-            .collect()
+    /// Keys of slots and of needs that belong to no job, with the job's id.
+    pub fn orphans(&self) -> Vec<(JobId, String)> {
+        let gone = |id: &JobId| !self.jobs.contains_key(id);
+        let mut out: Vec<(JobId, String)> = Vec::new();
+        for (id, m) in self.raw_blocks.iter().filter(|(id, _)| gone(id)) {
+            out.extend(m.keys().map(|n| (id.clone(), keys::block(id, *n))));
+        }
+        for (id, m) in self.leaves.iter().filter(|(id, _)| gone(id)) {
+            out.extend(
+                m.keys()
+                    .map(|(n, per, k)| (id.clone(), keys::slots(id, *n, *per, *k))),
+            );
+        }
+        for (id, m) in self.need_keys.iter().filter(|(id, _)| gone(id)) {
+            out.extend(m.keys().map(|k| (id.clone(), keys::needs(id, *k))));
+        }
+        out
+    }
+
+    /// Keys of a job besides its record.
+    pub fn keys_of(&self, id: &str) -> Vec<String> {
+        let mut out: Vec<String> = Vec::new();
+        if let Some(m) = self.raw_blocks.get(id) {
+            out.extend(m.keys().map(|n| keys::block(id, *n)));
+        }
+        if let Some(m) = self.leaves.get(id) {
+            out.extend(m.keys().map(|(n, per, k)| keys::slots(id, *n, *per, *k)));
+        }
+        if let Some(m) = self.need_keys.get(id) {
+            out.extend(m.keys().map(|k| keys::needs(id, *k)));
+        }
+        out
     }
 
     /// Tasks of unfinished jobs on a machine: a job that is over is on none.
@@ -406,6 +768,18 @@
     }
 }
 
+/// Puts one of the keys that a block was split into in its place.
+fn overlay(b: &mut Block, per: u32, k: u32, leaf: &Block) {
+    let from = (per as usize).saturating_mul(k as usize);
+    for (slot, new) in
+        b.0.iter_mut()
+            .skip(from)
+            .zip(leaf.0.iter().take(per as usize))
+    {
+        slot.clone_from(new);
+    }
+}
+
 fn put<K: Ord, V: serde::de::DeserializeOwned>(m: &mut BTreeMap<K, V>, k: K, v: Option<&Value>) {
     match v.and_then(from_value) {
         Some(x) => {
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -56,3 +56,22 @@
 pub fn from_value<T: DeserializeOwned>(v: &Value) -> Option<T> {
     v.deserialized().ok()
 }
+
+/// How long a value is in the form in which limits of values are counted: JSON.
+pub fn json_size<T: Serialize>(v: &T) -> usize {
+    struct Count(usize);
+    impl std::io::Write for Count {
+        fn write(&mut self, b: &[u8]) -> std::io::Result<usize> {
+            self.0 += b.len();
+            Ok(b.len())
+        }
+        fn flush(&mut self) -> std::io::Result<()> {
+            Ok(())
+        }
+    }
+    let mut n = Count(0);
+    match serde_json::to_writer(&mut n, v) {
+        Ok(()) => n.0,
+        Err(_) => usize::MAX,
+    }
+}
--- a/src/wire/state.rs
+++ b/src/wire/state.rs
@@ -90,6 +90,17 @@
     pub then: Vec<Change>,
 }
 
+impl Txn {
+    /// The size of its largest value, as limits count it.
+    pub fn largest(&self) -> usize {
+        let size = |c: &Change| match c {
+            Change::Put { v, .. } => super::json_size(v),
+            Change::Delete { .. } => 0,
+        };
+        self.then.iter().map(size).max().unwrap_or(0)
+    }
+}
+
 /// Asks for a lease.
 #[derive(Debug, Deserialize, Serialize)]
 pub struct LeaseAsk {
--- a/src/wire/user.rs
+++ b/src/wire/user.rs
@@ -48,6 +48,9 @@
     /// Deadline.
     #[serde(default)]
     pub due_s: Option<f64>,
+    /// Jobs that must be done before any task of this one starts.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub waits_on: Option<Vec<String>>,
 }
 
 /// Kinds of job on the wire.
@@ -108,6 +111,9 @@
     /// Tasks running.
     #[serde(default)]
     pub running: u32,
+    /// Jobs that it still waits for.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub waits_on: Vec<String>,
 }
 
 /// Whether an id has the only form that ids have: `req-` and digits.
--- a/src/workers/drive.rs
+++ b/src/workers/drive.rs
@@ -346,10 +346,11 @@
             let (level, burst) = self.store.write_level();
             let spare = level > burst / 2.0;
             let debt = level <= 0.0;
+            let ops = self.state_limits().txn_ops;
             let mut ups = 0;
             let busy = self.busy_hosts.borrow();
             for (id, m) in machines.iter() {
-                if busy.contains(id) || t.then.len() >= self.settings.txn_ops {
+                if busy.contains(id) || t.then.len() >= ops {
                     continue;
                 }
                 let have = view.hosts.get(id);
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -342,7 +342,7 @@
 /// What is wanted of a placement: `None` to run, or to stop with a grace.
 fn stop_of(view: &View, job: &JobId, p: &Placement) -> Option<Micros> {
     match view.jobs.get(job) {
-        Some(j) if j.spec.cancelled => Some(0),
+        Some(j) if j.cancelled() => Some(0),
         _ => p.stop,
     }
 }
@@ -538,6 +538,7 @@
             deadline: None,
             submitted: 0,
             cancelled,
+            needs: Default::default(),
         };
         let job = Record(spec, Block(vec![slot]));
         v.put(&keys::job("req-1"), &to_value(&job), 1);
--- a/tests/formats.rs
+++ b/tests/formats.rs
@@ -88,6 +88,7 @@
         bookmark_s: 30.0,
         flush_s: 4.0,
         due_s: Some(900.0),
+        waits_on: None,
     }
 }
 
--- a/tests/grown.rs
+++ b/tests/grown.rs
@@ -21,6 +21,10 @@
     ops: 16,
     merge: 16,
     bytes: 48 * 1024,
+    value: 32_000,
+    layout: false,
+    packed: false,
+    wall: 0,
 };
 
 fn kind(sku: &str, cores: f64, gpus: f64) -> MachineType {
@@ -63,6 +67,7 @@
         deadline: None,
         submitted: 400 * SECOND,
         cancelled: false,
+        needs: Default::default(),
     }
 }
 
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -102,6 +102,7 @@
                 deadline: None,
                 submitted: at * SECOND,
                 cancelled: false,
+                needs: Default::default(),
             },
         )
 }
@@ -203,7 +204,7 @@
         for (i, s) in specs.iter().enumerate() {
             put(&mut v, &keys::job(&format!("req-{i}")), &record(s));
         }
-        let limits = Limits { ops: 16, merge: 16, bytes: 48_000 };
+        let limits = Limits { ops: 16, merge: 16, bytes: 48_000 , value: 32_000, layout: false, packed: false, wall: 0};
         for _ in 0..4 {
             let intents = scene_plan(&v);
             let staged = stage(&v, &intents, &HashSet::new(), &|t| t == "capped", limits);
@@ -266,12 +267,17 @@
             deadline: None,
             submitted: 1,
             cancelled: false,
+            needs: Default::default(),
         };
         v.put(&keys::job("req-1"), &record(&base), 3);
         let limits = Limits {
             ops: 16,
             merge: 16,
             bytes: 48_000,
+            value: 32_000,
+            layout: false,
+            packed: false,
+            wall: 0,
         };
         let intents = scene_plan(&v);
         let staged = stage(&v, &intents, &HashSet::new(), &|_| false, limits);
@@ -344,12 +350,17 @@
         deadline: None,
         submitted: 1,
         cancelled: false,
+        needs: Default::default(),
     };
     put(&mut v, keys::job("req-1"), record(&spec));
     let limits = Limits {
         ops: 16,
         merge: 16,
         bytes: 48_000,
+        value: 32_000,
+        layout: false,
+        packed: false,
+        wall: 0,
     };
     let changes = |v: &View, intents: &[Intent]| {
         let staged = stage(v, intents, &HashSet::new(), &|_| false, limits);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -152,6 +152,7 @@
         deadline: None,
         submitted: at,
         cancelled: false,
+        needs: Default::default(),
     }
 }
 
@@ -222,6 +223,7 @@
                 lease: self.leases,
                 since: 0,
                 shunned: false,
+                version: 0,
             };
             self.store.put(key, &m);
         }
@@ -354,6 +356,10 @@
             ops: 16,
             merge: 16,
             bytes: 48_000,
+            value: 32_000,
+            layout: false,
+            packed: false,
+            wall: 0,
         };
         let mut sessions = Vec::new();
         for (id, m) in &node.machines {
