--- a/src/jobs/commit.rs
+++ b/src/jobs/commit.rs
@@ -404,7 +404,7 @@
 
 /// Bytes that a slot may take in a key that a block was split into: a machine of its own, with an
 /// attempt and a grace that no other slot has.
-const SLOT_BYTES: usize = 32;
+const SLOT_BYTES: usize = 30;
 
 impl Group {
     /// Adds the writes that give a block this content, and tells whether that splits the block.
--- a/src/jobs/front.rs
+++ b/src/jobs/front.rs
@@ -1,7 +1,8 @@
 //! Users' requests: submit, poll, withdraw.
 
 use super::commit::{accepted, withdraw};
-use super::model::{Final, Ids, JobId, Needs, Refusal, Spec, admit};
+use super::model::{Ids, JobId, Needs, Refusal, Spec, admit};
+use super::pipelines::{Named, answer, final_answer, named};
 use crate::node::Node;
 use crate::store::client::Outcome;
 use crate::store::keys;
@@ -9,10 +10,9 @@
 use crate::wire::peer::{FORWARD, Forward, Forwarded, pack, unpack};
 use crate::wire::server::{Ask, Reply};
 use crate::wire::state::{Change, Guard, Txn};
-use crate::wire::user::{JobAnswer, Route, Shape, Status, Submission, route, valid_id};
+use crate::wire::user::{JobAnswer, Route, Status, Submission, route, valid_id};
 use crate::wire::{decode, json_size, to_value};
 use http_types::Method;
-use std::collections::BTreeSet;
 use std::rc::Rc;
 
 /// Seconds after which a user who could not be served may come back.
@@ -25,9 +25,6 @@
 /// list is taken when the user comes back, with the answers kept.
 const ASKS: usize = 40;
 
-/// So many of the jobs that a job waits for are shown.
-const SHOWN: usize = 20;
-
 /// Transactions that a withdrawal may take: a placement may come in between, a record may have to be
 /// split first.
 const TRIES: usize = 12;
@@ -44,20 +41,6 @@
     Reply::later(503, COME_BACK)
 }
 
-fn final_answer(id: &str, f: Final) -> JobAnswer {
-    JobAnswer {
-        id: id.into(),
-        status: if f.cancelled {
-            Status::Cancelled
-        } else {
-            Status::Done
-        },
-        done: f.done,
-        running: 0,
-        waits_on: Vec::new(),
-    }
-}
-
 impl Node {
     /// Answers a user.
     pub async fn on_user(&self, a: Ask) -> Reply {
@@ -139,30 +122,7 @@
 
     /// The job's state in the view.
     fn seen(&self, id: &str) -> Option<JobAnswer> {
-        let v = self.view.borrow();
-        if let Some(f) = v.fin(id) {
-            return Some(final_answer(id, f));
-        }
-        let j = v.jobs.get(id)?;
-        Some(JobAnswer {
-            id: id.into(),
-            status: if j.cancelled() {
-                Status::Cancelled
-            } else if j.placed > 0 {
-                Status::Running
-            } else {
-                Status::Pending
-            },
-            done: j.done,
-            running: j.placed,
-            waits_on: j
-                .needs
-                .iter()
-                .filter(|n| v.ended(n).is_none())
-                .take(SHOWN)
-                .map(|n| n.to_string())
-                .collect(),
-        })
+        answer(&self.view.borrow(), id)
     }
 
     /// The job's state as of now. `Ok(None)`: nobody submitted it. `Err`: cannot tell.
@@ -203,70 +163,43 @@
         self.view.borrow().unknown_above(id)
     }
 
-    /// Checks the jobs that a submission names and gives those that count: not those that are done,
-    /// and of one that is cancelled nothing but that.
+    /// Checks the jobs that a submission names and gives those that count.
     async fn needs(&self, own: &str, names: &[String]) -> Result<Vec<JobId>, NoNeeds> {
-        let names: BTreeSet<&String> = names.iter().collect();
-        if names.iter().any(|n| *n == own) {
-            return Err(NoNeeds::Impossible("waits for itself"));
-        }
         // A node from before would start it at once. 503 until every node knows better.
         if self.view.borrow().layout.is_none() || !self.state_ok() {
             return Err(NoNeeds::Later);
         }
-        let unknown: Vec<JobId> = {
-            let v = self.view.borrow();
-            names
-                .iter()
-                .filter(|n| v.ended(n).is_none() && !v.jobs.contains_key(n.as_str()))
-                .map(|n| n.as_str().into())
-                .collect()
+        let unknown = match named(&self.view.borrow(), own, names) {
+            Named::Needs(list) => return Ok(list),
+            Named::Impossible(why) => return Err(NoNeeds::Impossible(why)),
+            Named::Unknown(list) => list,
         };
-        let mut missing = Vec::new();
-        for (asked, n) in unknown.into_iter().enumerate() {
-            if asked == ASKS {
-                return Err(NoNeeds::Later);
+        if unknown.len() > ASKS {
+            // Those that are over are kept at hand, so that the next try needs to ask for fewer.
+            for n in unknown.iter().take(ASKS) {
+                let _ = self.read_final(n).await;
             }
-            match self.read_final(&n).await {
-                Ok(Some(_)) => {}
-                Ok(None) => missing.push(n),
+            return Err(NoNeeds::Later);
+        }
+        let mut missing = false;
+        for n in &unknown {
+            match self.read_final(n).await {
+                Ok(f) => missing |= f.is_none(),
                 Err(_) => return Err(NoNeeds::Later),
             }
         }
         // Not over: then it is among the unfinished ones, as a read begun now shows them, or nobody
         // accepted it.
-        if !missing.is_empty() {
-            if !self.barrier().await {
-                return Err(NoNeeds::Later);
-            }
-            let v = self.view.borrow();
-            if missing
-                .iter()
-                .any(|n| v.ended(n).is_none() && !v.jobs.contains_key(n))
-            {
-                return Err(NoNeeds::Impossible(
-                    "waits for a job that was never accepted",
-                ));
-            }
+        if missing && !self.barrier().await {
+            return Err(NoNeeds::Later);
         }
-        let v = self.view.borrow();
-        let mut out = Vec::new();
-        for n in names {
-            match v.ended(n) {
-                Some(f) if f.cancelled => return Ok(vec![n.as_str().into()]),
-                Some(_) => {}
-                None => {
-                    if v.jobs
-                        .get(n.as_str())
-                        .is_some_and(|j| j.spec.kind == Shape::Service)
-                    {
-                        return Err(NoNeeds::Impossible("waits for a service"));
-                    }
-                    out.push(n.as_str().into());
-                }
-            }
+        match named(&self.view.borrow(), own, names) {
+            Named::Needs(list) => Ok(list),
+            Named::Impossible(why) => Err(NoNeeds::Impossible(why)),
+            Named::Unknown(_) => Err(NoNeeds::Impossible(
+                "waits for a job that was never accepted",
+            )),
         }
-        Ok(out)
     }
 
     /// The writes that accept a job: its record, and keys of their own for jobs that it needs and
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -3,3 +3,4 @@
 pub mod commit;
 mod front;
 pub mod model;
+pub mod pipelines;
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -108,6 +108,7 @@
     count: usize,
     entitled: bool,
     home: bool,
+    rank: Rank,
     turn: (bool, u64),
 }
 
@@ -179,10 +180,26 @@
     )
 }
 
-/// Turn among jobs of one rank that the fairness loop has not told apart: those that can still meet
-/// an aim of their class before those that cannot, and of the former the least work first.
-fn turn(s: &Scene<'_>, job: &Job) -> (bool, u64) {
+/// Rank and turn of a job. Turn is among jobs of one rank that the fairness loop has not told apart:
+/// those that can still meet an aim of their class before those that cannot, and of the former the
+/// least work first. The jobs of a pipeline with a deadline have the rank of the highest that needs
+/// them and go by slack, least first: they must end in time for all that comes after them. Once no
+/// aim of the pipeline can be met any more, each is a job of its own class again.
+fn turn(s: &Scene<'_>, job: &Job) -> (Rank, bool, u64) {
     let spec = &job.spec;
+    if let Some(due) = job.due.filter(|_| job.piped) {
+        let times = s
+            .objectives
+            .iter()
+            .filter(|o| o.kind == ObjectiveKind::Deadline)
+            .map(|o| o.times)
+            .max()
+            .unwrap_or(1000);
+        let latest = due.saturating_add(job.span / 1000 * times.saturating_sub(1000));
+        if s.wall.saturating_add(spec.estimate) < latest {
+            return (job.rank, false, due.saturating_sub(spec.estimate));
+        }
+    }
     let age = s.wall.saturating_sub(job.since);
     let mut aims = s
         .objectives
@@ -198,7 +215,7 @@
             age + run > o.within
         });
     let work = u64::from(job.waiting) * (spec.estimate / 1000) * spec.room.cpus.max(1) as u64;
-    (hopeless, if hopeless { 0 } else { work })
+    (spec.rank, hopeless, if hopeless { 0 } else { work })
 }
 
 /// Makes the plan.
@@ -283,7 +300,8 @@
             continue;
         }
         let entitled = entitled(&job.spec.team);
-        let turn = turn(s, job);
+        let (rank, hopeless, order) = turn(s, job);
+        let turn = (hopeless, order);
         let home = kind == Shape::Gang || (s.home)(id);
         let waiting = job.waiting as usize;
         let (n, p) = v.raises.jobs.get(&**id).copied().unwrap_or((0, 0));
@@ -302,14 +320,15 @@
                     count,
                     entitled,
                     home,
+                    rank,
                     turn,
                 });
             }
         }
     }
     queue.sort_by(|a, b| {
-        (!a.entitled, a.job.rank)
-            .cmp(&(!b.entitled, b.job.rank))
+        (!a.entitled, a.rank)
+            .cmp(&(!b.entitled, b.rank))
             .then(a.turn.0.cmp(&b.turn.0))
             .then(b.home.cmp(&a.home))
             .then((b.raised > 0).cmp(&(a.raised > 0)))
--- a/src/store/view.rs
+++ b/src/store/view.rs
@@ -45,6 +45,8 @@
     pub rank: Rank,
     /// When it must end for its pipeline to keep its deadline: time of day.
     pub due: Option<Micros>,
+    /// How long after its submission the job whose deadline that is has to be done.
+    pub span: Micros,
     /// Whether it needs others or others need it.
     pub piped: bool,
 }
@@ -464,6 +466,7 @@
             };
             let mut rank = j.spec.rank;
             let mut due = j.spec.deadline.map(|d| j.spec.submitted + d);
+            let mut span = j.spec.deadline.unwrap_or(0);
             for d in self.dependents.get(&id).into_iter().flatten() {
                 let Some(d) = self.jobs.get(d).filter(|d| !d.cancelled()) else {
                     continue;
@@ -472,10 +475,10 @@
                 let before = d
                     .due
                     .map(|t| t.saturating_sub(d.spec.estimate.saturating_add(HANDOVER)));
-                due = match (due, before) {
-                    (Some(a), Some(b)) => Some(a.min(b)),
-                    (a, b) => a.or(b),
-                };
+                if before.is_some_and(|b| due.is_none_or(|a| b < a)) {
+                    due = before;
+                    span = d.span;
+                }
             }
             if (rank, due) == (j.rank, j.due) {
                 continue;
@@ -484,6 +487,7 @@
             if let Some(j) = self.jobs.get_mut(&id) {
                 j.rank = rank;
                 j.due = due;
+                j.span = span;
             }
         }
     }
@@ -592,6 +596,7 @@
                 since: spec.submitted,
                 rank: spec.rank,
                 due: spec.deadline.map(|d| spec.submitted + d),
+                span: spec.deadline.unwrap_or(0),
                 piped: waited_for.is_some(),
                 spec,
             },
--- /dev/null
+++ b/tests/pipelines.rs
@@ -0,0 +1,778 @@
+//! Pipelines, versions side by side and limits that fall, under generated orders of submissions,
+//! cancellations, restarts and late transactions. The store checks every write against its limits; the
+//! version in production is met through the types that it reads and writes with.
+
+use coppergw::jobs::commit::{Intent, Limits, accepted, stage, sweep, withdraw};
+use coppergw::jobs::model::{
+    Block, Final, Ids, JobId, Needs, Placement, Record, Room, Slot, Spec, Stored,
+};
+use coppergw::jobs::pipelines::{Named, answer, named};
+use coppergw::members::{Member, all_know};
+use coppergw::store::keys;
+use coppergw::store::view::{VERSION, Version, View};
+use coppergw::wire::state::{Change, Guard, Txn};
+use coppergw::wire::user::{Rank, Shape, Status};
+use coppergw::wire::{from_value, json_size, to_value};
+use proptest::prelude::*;
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::rc::Rc;
+
+const NODES: usize = 3;
+const WIDE: (usize, usize) = (32 * 1024, 16);
+const NARROW: (usize, usize) = (2 * 1024, 5);
+
+/// The record as the version in production has it: what it cannot read it drops, and with it the job.
+#[derive(serde::Deserialize)]
+#[allow(dead_code)]
+struct OldSpec {
+    cl: String,
+    t: String,
+    k: Shape,
+    r: Rank,
+    n: u32,
+    q: Room,
+    i: String,
+    ig: i64,
+    ty: Option<Vec<String>>,
+    z: Option<String>,
+    oz: bool,
+    sp: bool,
+    s: bool,
+    e: u64,
+    cp: u64,
+    sv: u64,
+    d: Option<u64>,
+    at: u64,
+    #[serde(default)]
+    x: bool,
+}
+type OldSlot = (u8, u32, String, u64, u64);
+type OldRecord = (OldSpec, Vec<OldSlot>);
+
+fn spec(kind: Shape, tasks: u32) -> Spec {
+    Spec {
+        class: "claim-score".into(),
+        team: "fleet-desk".into(),
+        kind,
+        rank: Rank::Low,
+        tasks,
+        room: Room {
+            cpus: 1000,
+            gpus: 0,
+            memory: 1000,
+        },
+        image: "image-of-some-length-07".into(),
+        image_size: 900,
+        types: Some(vec!["umurenge-16".into(), "imbaraga-24".into()]),
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: true,
+        estimate: 25_000_000,
+        checkpoint: 15_000_000,
+        save: 6_000_000,
+        deadline: Some(150_000_000),
+        submitted: 1_700_000_000_000_000,
+        cancelled: false,
+        needs: Needs::default(),
+    }
+}
+
+#[derive(Default)]
+struct Store {
+    rev: u64,
+    keys: BTreeMap<String, (ciborium::Value, u64)>,
+    log: Vec<(u64, String, Option<ciborium::Value>)>,
+    limits: (usize, usize),
+}
+
+impl Store {
+    fn apply(&mut self, t: &Txn) -> bool {
+        for Guard { path, stamp } in &t.guards {
+            if self.keys.get(path).map_or(0, |k| k.1) != *stamp {
+                return false;
+            }
+        }
+        self.rev += 1;
+        for c in &t.then {
+            let (key, v) = match c {
+                Change::Put { put, v, .. } => (put, Some(v.clone())),
+                Change::Delete { remove } => (remove, None),
+            };
+            match &v {
+                Some(v) => drop(self.keys.insert(key.clone(), (v.clone(), self.rev))),
+                None => drop(self.keys.remove(key)),
+            }
+            self.log.push((self.rev, key.clone(), v));
+        }
+        true
+    }
+
+    /// What the state service answers with 400: always a fault of ours.
+    fn check(&self, t: &Txn) {
+        let (value, ops) = self.limits;
+        assert!(t.then.len() <= ops, "{} changes", t.then.len());
+        assert!(t.guards.len() <= ops * 4, "{} guards", t.guards.len());
+        assert!(t.largest() <= value, "a value of {} bytes", t.largest());
+        assert!(json_size(t) <= 64 * 1024);
+    }
+
+    fn job(&self, id: &str) -> Option<Spec> {
+        let (v, _) = self.keys.get(&keys::job(id))?;
+        Some(from_value::<coppergw::jobs::model::AnyRecord>(v)?.0)
+    }
+    fn fin(&self, id: &str) -> Option<Final> {
+        from_value(&self.keys.get(&keys::fin(id))?.0)
+    }
+    /// Whether the job or one before it is cancelled, from what is stored alone.
+    fn cancelled(&self, needs: &HashMap<String, Vec<String>>, id: &str) -> bool {
+        match self.fin(id) {
+            Some(f) => f.cancelled,
+            None => {
+                self.job(id).is_some_and(|s| s.cancelled)
+                    || needs
+                        .get(id)
+                        .into_iter()
+                        .flatten()
+                        .any(|n| self.cancelled(needs, n))
+            }
+        }
+    }
+}
+
+struct Node {
+    view: View,
+    seen: usize,
+    new: bool,
+}
+
+struct World {
+    store: Store,
+    nodes: Vec<Node>,
+    /// As submitted: what each job waits for.
+    needs: HashMap<String, Vec<String>>,
+    order: Vec<String>,
+    told: HashMap<String, Status>,
+    late: Vec<Txn>,
+    on: BTreeSet<(String, u32)>,
+    wall: u64,
+}
+
+fn name(n: usize) -> String {
+    format!("deckhand-{n}")
+}
+
+impl World {
+    fn new() -> World {
+        let mut w = World {
+            store: Store {
+                limits: WIDE,
+                ..Store::default()
+            },
+            nodes: Vec::new(),
+            needs: HashMap::new(),
+            order: Vec::new(),
+            told: HashMap::new(),
+            late: Vec::new(),
+            on: BTreeSet::new(),
+            wall: 1_700_000_000_000_000,
+        };
+        for _ in 0..NODES {
+            w.nodes.push(Node {
+                view: View::default(),
+                seen: 0,
+                new: false,
+            });
+        }
+        w
+    }
+
+    fn layout(&self) -> bool {
+        self.store.keys.contains_key(keys::LAYOUT)
+    }
+
+    fn limits(&self, n: usize) -> Limits {
+        let layout = self.nodes[n].new && self.nodes[n].view.layout.is_some();
+        let (value, ops) = if layout { NARROW } else { WIDE };
+        Limits {
+            ops,
+            merge: 8,
+            bytes: 48 * 1024,
+            value: value - 48,
+            layout,
+            packed: layout,
+            wall: self.wall,
+        }
+    }
+
+    fn sync(&mut self, n: usize) {
+        let node = &mut self.nodes[n];
+        for (rev, key, v) in &self.store.log[node.seen..] {
+            match v {
+                Some(v) => node.view.put(key, v, *rev),
+                None => node.view.delete(key, *rev),
+            }
+        }
+        node.seen = self.store.log.len();
+        node.view.rev = self.store.rev;
+    }
+
+    /// A process that comes back reads everything but the final states.
+    fn restart(&mut self, n: usize, new: bool) {
+        let mut view = View::default();
+        for (k, (v, stamp)) in &self.store.keys {
+            if keys::LOADED.iter().any(|p| k.starts_with(p)) {
+                view.put(k, v, *stamp);
+            }
+        }
+        view.rev = self.store.rev;
+        self.nodes[n] = Node {
+            view,
+            seen: self.store.log.len(),
+            new,
+        };
+        if new {
+            self.put(keys::version(&name(n)), &Version { version: VERSION });
+        }
+        let members = (0..NODES).map(|n| {
+            let version = if self.nodes[n].new { VERSION } else { 0 };
+            let m = Member {
+                lease: 1,
+                since: 0,
+                shunned: false,
+                version,
+            };
+            (name(n), m)
+        });
+        let members: BTreeMap<String, Member> = members.collect();
+        self.sync(n);
+        let names: Vec<String> = (0..NODES).map(name).collect();
+        let view = &self.nodes[n].view;
+        if new && all_know(names.iter().map(String::as_str), &view.versions, &members) {
+            self.put(keys::LAYOUT.into(), &Version { version: VERSION });
+        }
+    }
+
+    fn put<T: serde::Serialize>(&mut self, key: String, v: &T) {
+        self.store.apply(&Txn {
+            guards: vec![],
+            then: vec![Change::Put {
+                put: key,
+                v: to_value(v),
+                permit: None,
+            }],
+        });
+    }
+
+    /// Carries a transaction out, or holds it back to be applied late, with or without an answer.
+    fn commit(&mut self, n: usize, t: Txn, fate: u8) -> bool {
+        self.store.check(&t);
+        if fate.is_multiple_of(7) {
+            self.late.push(t);
+            return false;
+        }
+        let ok = self.run(&t);
+        if ok && !fate.is_multiple_of(5) {
+            // Applied ahead of the watch.
+            let rev = self.store.rev;
+            for c in &t.then {
+                match c {
+                    Change::Put { put, v, .. } => self.nodes[n].view.put(put, v, rev),
+                    Change::Delete { remove } => self.nodes[n].view.delete(remove, rev),
+                }
+            }
+        }
+        if !ok {
+            self.sync(n);
+        }
+        ok
+    }
+
+    fn run(&mut self, t: &Txn) -> bool {
+        if !self.store.apply(t) {
+            return false;
+        }
+        let old = !self.layout();
+        for c in &t.then {
+            let Change::Put { put, v, .. } = c else {
+                continue;
+            };
+            if old {
+                // The version in production must be able to read it.
+                if put.starts_with("c/job/") {
+                    assert!(from_value::<OldRecord>(v).is_some(), "{put} is unreadable");
+                } else if put.starts_with("c/block/") {
+                    assert!(
+                        from_value::<Vec<OldSlot>>(v).is_some(),
+                        "{put} is unreadable"
+                    );
+                }
+                assert!(!put.starts_with("c/slots/") && !put.starts_with("c/needs/"));
+            }
+        }
+        // Whatever is placed now, by whichever view: everything before it must be done.
+        let mut fresh = View::default();
+        for (k, (v, stamp)) in &self.store.keys {
+            fresh.put(k, v, *stamp);
+        }
+        let mut on = BTreeSet::new();
+        for (id, j) in &fresh.jobs {
+            on.extend(j.placements().map(|(i, _)| (id.to_string(), i)));
+        }
+        for (id, i) in on.difference(&self.on) {
+            for n in self.needs.get(id).into_iter().flatten() {
+                let f = self.store.fin(n);
+                assert!(
+                    f.is_some_and(|f| !f.cancelled),
+                    "too_early: {id}/{i} before {n}"
+                );
+            }
+            assert_ne!(self.told.get(id), Some(&Status::Cancelled), "ran_cancelled");
+        }
+        self.on = on;
+        true
+    }
+
+    fn read_final(&mut self, n: usize, id: &str) -> bool {
+        let f = self.store.fin(id);
+        if let Some(f) = f {
+            self.nodes[n].view.remember(&id.into(), f);
+        }
+        f.is_some()
+    }
+
+    fn submit(&mut self, n: usize, mut s: Spec, picks: &[u8]) {
+        let id = format!("req-{:06}", self.order.len());
+        let names: Vec<String> = picks
+            .iter()
+            .filter(|_| !self.order.is_empty())
+            .map(|p| self.order[usize::from(*p) % self.order.len()].clone())
+            .collect();
+        if !names.is_empty() {
+            if self.nodes[n].view.layout.is_none() || !self.nodes[n].new {
+                return; // 503
+            }
+            let mut list = named(&self.nodes[n].view, &id, &names);
+            if let Named::Unknown(u) = list {
+                for x in &u {
+                    self.read_final(n, x);
+                }
+                self.sync(n);
+                list = named(&self.nodes[n].view, &id, &names);
+            }
+            let Named::Needs(list) = list else {
+                panic!("422 for accepted jobs: {list:?}");
+            };
+            s.needs.jobs = Ids(list);
+        }
+        s.submitted = self.wall;
+        let t = Txn {
+            guards: vec![],
+            then: vec![Change::Put {
+                put: keys::job(&id),
+                v: to_value(&accepted(s, self.limits(n))),
+                permit: None,
+            }],
+        };
+        self.store.check(&t);
+        self.needs.insert(id.clone(), names);
+        self.order.push(id);
+        assert!(self.run(&t));
+    }
+
+    /// The state as a user is told it.
+    fn poll(&mut self, n: usize, id: &str) -> Option<Status> {
+        let last = |s: Status| matches!(s, Status::Done | Status::Cancelled);
+        let mut a = answer(&self.nodes[n].view, id).map(|a| a.status);
+        if !a.is_some_and(last) {
+            if a.is_none() {
+                self.read_final(n, id);
+            }
+            self.sync(n);
+            for x in self.nodes[n].view.unknown_above(id) {
+                assert!(self.read_final(n, &x), "neither unfinished nor over: {x}");
+            }
+            a = answer(&self.nodes[n].view, id).map(|a| a.status);
+        }
+        let a = a.expect("forgotten");
+        let cancelled = self.store.cancelled(&self.needs, id);
+        assert_eq!(
+            a == Status::Cancelled,
+            cancelled,
+            "orphaned, or cancelled by nobody: {id}"
+        );
+        if let Some(before) = self.told.get(id)
+            && last(*before)
+        {
+            assert_eq!(a, *before, "went_back");
+        }
+        self.told.insert(id.into(), a);
+        Some(a)
+    }
+
+    fn cancel(&mut self, n: usize, id: &str, fate: u8) {
+        if !self.nodes[n].new && self.layout() {
+            return;
+        }
+        for _ in 0..12 {
+            if matches!(self.poll(n, id), Some(Status::Done | Status::Cancelled)) {
+                return;
+            }
+            let job: JobId = id.into();
+            let Some(t) = withdraw(&self.nodes[n].view, &job, self.limits(n)) else {
+                return;
+            };
+            if !self.commit(n, t, fate) && fate.is_multiple_of(7) {
+                return;
+            }
+        }
+        panic!("a cancellation that never comes through");
+    }
+
+    fn intents(&self, n: usize, pick: u8) -> Vec<Intent> {
+        let view = &self.nodes[n].view;
+        let mut out = Vec::new();
+        for (k, (id, j)) in view.jobs.iter().enumerate() {
+            // Placement is tried for every job: what may not start must be kept back by the guard.
+            let waiting: Vec<u32> = j
+                .slots()
+                .filter(|(_, s)| matches!(s, Slot::Waiting(_)))
+                .map(|(i, _)| i)
+                .collect();
+            let host = |i: u32| -> Rc<str> { format!("m-{:06}", (i * 7 + k as u32) % 400).into() };
+            if !waiting.is_empty() {
+                out.push(Intent::Place {
+                    job: id.clone(),
+                    tasks: waiting.iter().map(|i| (*i, host(*i), 1)).collect(),
+                });
+            }
+            for (i, p) in j.placements() {
+                if (i + u32::from(pick)).is_multiple_of(3) || j.cancelled() {
+                    out.push(Intent::Left {
+                        job: id.clone(),
+                        index: i,
+                        attempt: p.attempt,
+                        done: !i.wrapping_add(p.attempt).is_multiple_of(4),
+                    });
+                } else if (i + u32::from(pick)).is_multiple_of(11) {
+                    out.push(Intent::Stop {
+                        job: id.clone(),
+                        index: i,
+                        attempt: p.attempt,
+                        grace: 4_000_000 + u64::from(i) * 1000,
+                    });
+                }
+            }
+            out.push(Intent::Settle { job: id.clone() });
+        }
+        out
+    }
+
+    fn pass(&mut self, n: usize, pick: u8, fate: u8) {
+        // An old process must not be asked to write once the newer layout is in force: there is none.
+        assert!(self.nodes[n].new || !self.layout());
+        let intents = self.intents(n, pick);
+        let l = self.limits(n);
+        for s in stage(
+            &self.nodes[n].view,
+            &intents,
+            &HashSet::new(),
+            &|_| false,
+            l,
+        ) {
+            self.commit(n, s.txn, fate);
+        }
+        if fate.is_multiple_of(3)
+            && let Some(t) = sweep(&self.nodes[n].view, l)
+        {
+            self.commit(n, t, fate);
+        }
+    }
+
+    fn step(&mut self, op: u8, a: u8, b: u8) {
+        self.wall += 100_000;
+        let n = usize::from(a) % NODES;
+        match op % 12 {
+            0 | 1 => {
+                let tasks = [1, 3, 40, 130, 300][usize::from(b) % 5];
+                self.submit(n, spec(Shape::Array, tasks), &[]);
+            }
+            2 => self.submit(n, spec(Shape::Gang, [2, 32, 64][usize::from(b) % 3]), &[]),
+            3 => self.submit(n, spec(Shape::Array, 2), &[a, b]),
+            4 => self.submit(n, spec(Shape::Gang, 3), &[b, b.wrapping_add(a), b / 2]),
+            5 if !self.order.is_empty() => {
+                let id = self.order[usize::from(b) % self.order.len()].clone();
+                self.cancel(n, &id, a);
+            }
+            6 | 7 => self.pass(n, b, a),
+            8 => self.sync(n),
+            9 => {
+                // Every process dies sooner or later; from its turn on it comes back new.
+                let new = self.nodes[n].new || b.is_multiple_of(3);
+                self.restart(n, new);
+            }
+            10 if !self.late.is_empty() => {
+                let t = self.late.swap_remove(usize::from(b) % self.late.len());
+                if self.store.limits == WIDE {
+                    self.run(&t);
+                } else if t.largest() <= NARROW.0 && t.then.len() <= NARROW.1 {
+                    // A larger one is refused once the limits fell.
+                    self.run(&t);
+                }
+            }
+            11 if self.layout() && self.nodes.iter().all(|n| n.view.layout.is_some()) => {
+                self.store.limits = NARROW;
+            }
+            _ => {
+                if let Some(id) = self.order.get(usize::from(b)) {
+                    let id = id.clone();
+                    self.poll(n, &id);
+                }
+            }
+        }
+    }
+
+    /// Without further failures everything ends, and nothing is left behind.
+    fn settle(&mut self) {
+        for n in 0..NODES {
+            self.restart(n, true);
+        }
+        for n in 0..NODES {
+            self.sync(n);
+        }
+        self.store.limits = NARROW;
+        for round in 0..400u32 {
+            let n = round as usize % NODES;
+            self.sync(n);
+            for x in self.nodes[n].view.unknown_gates() {
+                self.read_final(n, &x);
+            }
+            self.pass(n, (round / 3) as u8, 3);
+            if !self.store.keys.keys().any(|k| k.starts_with("c/job/")) {
+                break;
+            }
+        }
+        for _ in 0..200 {
+            self.sync(0);
+            if let Some(t) = sweep(&self.nodes[0].view, self.limits(0)) {
+                self.commit(0, t, 1);
+            }
+        }
+        let left: Vec<&String> = self
+            .store
+            .keys
+            .keys()
+            .filter(|k| {
+                ["c/job/", "c/block/", "c/slots/", "c/needs/"]
+                    .iter()
+                    .any(|p| k.starts_with(p))
+            })
+            .collect();
+        assert!(left.is_empty(), "never ended: {left:?}");
+        for id in self.order.clone() {
+            self.poll(0, &id);
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 48, failure_persistence: None, max_shrink_iters: 200, rng_seed: proptest::test_runner::RngSeed::Fixed(11), ..ProptestConfig::default() })]
+
+    /// too_early, orphaned, went_back, forgotten and every limit, whatever comes in which order:
+    /// versions side by side, restarts, late and unanswered transactions, limits that fall.
+    #[test]
+    fn pipelines_and_versions_keep_the_rules(ops in proptest::collection::vec(any::<(u8, u8, u8)>(), 40..160)) {
+        let mut w = World::new();
+        for (op, a, b) in ops {
+            w.step(op, a, b);
+        }
+        w.settle();
+    }
+
+    /// Whatever a block holds is read again as it was, in every form.
+    #[test]
+    fn packed_blocks_are_read_as_they_were(slots in proptest::collection::vec((0u8..4, 0u32..3, 0u8..5, 1u64..3), 0..256)) {
+        let b = Block(slots.iter().map(|(k, a, h, s)| match k {
+            0 => Slot::Waiting(*a),
+            1 => Slot::Done,
+            k => Slot::Placed(Placement {
+                attempt: *a,
+                host: format!("m-{h}").into(),
+                session: *s,
+                stop: (*k == 3).then_some(6_000_000),
+            }),
+        }).collect());
+        for form in [Stored::Plain(b.clone()), Stored::Packed(b.clone()), Stored::Split(64)] {
+            prop_assert_eq!(from_value::<Stored>(&to_value(&form)), Some(form));
+        }
+    }
+}
+
+fn placed_apart(tasks: u32) -> Block {
+    let place = |i: u32| {
+        Slot::Placed(Placement {
+            attempt: 1 + i % 3,
+            host: format!("m-{i:06}").into(),
+            session: 1,
+            stop: None,
+        })
+    };
+    Block((0..tasks).map(place).collect())
+}
+
+/// A record in the old layout, its 256 tasks on as many machines, is too large to be written again
+/// after the fall. It still gets its cancellation, with one write, and its end.
+#[test]
+fn an_old_record_is_cancelled_and_ends_under_lower_limits() {
+    let mut w = World::new();
+    w.put(
+        keys::job("req-000000"),
+        &Record(spec(Shape::Array, 256), placed_apart(256)),
+    );
+    w.order.push("req-000000".into());
+    for n in 0..NODES {
+        w.restart(n, true);
+    }
+    w.restart(0, true);
+    w.store.limits = NARROW;
+    let before = w.store.rev;
+    w.cancel(0, "req-000000", 1);
+    assert_eq!(w.store.rev - before, 1, "more than one write for an answer");
+    w.on = (0..256).map(|i| ("req-000000".to_string(), i)).collect();
+    w.settle();
+    assert_eq!(w.told["req-000000"], Status::Cancelled);
+}
+
+/// A gang of 32 on 32 machines of all parts fits into one transaction of 5 changes and 20 conditions.
+#[test]
+fn a_gang_on_many_machines_is_one_transaction_under_lower_limits() {
+    let mut w = World::new();
+    for n in 0..NODES {
+        w.restart(n, true);
+    }
+    w.restart(0, true);
+    w.store.limits = NARROW;
+    w.submit(0, spec(Shape::Gang, 32), &[]);
+    w.sync(0);
+    let tasks = (0..32)
+        .map(|i| (i, format!("m-{i:06}").into(), 1))
+        .collect();
+    let job: JobId = "req-000000".into();
+    let list = stage(
+        &w.nodes[0].view,
+        &[Intent::Place { job, tasks }],
+        &HashSet::new(),
+        &|_| false,
+        w.limits(0),
+    );
+    assert_eq!(list.len(), 1);
+    let parts = list[0]
+        .txn
+        .guards
+        .iter()
+        .filter(|g| g.path.starts_with("c/part/"));
+    assert!(
+        parts.count() > 8,
+        "the terms of all parts stand for the machines"
+    );
+    assert!(w.commit(0, list[0].txn.clone(), 1));
+    w.sync(0);
+    assert_eq!(w.nodes[0].view.jobs["req-000000"].placed, 32);
+}
+
+/// Until every controller has said durably that it knows the newer layout, none uses it: a process
+/// that died before its turn comes back old, whoever is alive just now.
+#[test]
+fn the_layout_changes_only_once_all_controllers_know_it() {
+    let v = |n: u32| Version { version: n };
+    let m = |version| Member {
+        lease: 1,
+        since: 0,
+        shunned: false,
+        version,
+    };
+    let names = ["a", "b", "c"];
+    let two = BTreeMap::from([("a".into(), v(2)), ("b".into(), v(2))]);
+    let all = BTreeMap::from([("a".into(), v(2)), ("b".into(), v(2)), ("c".into(), v(2))]);
+    let alive = BTreeMap::from([("a".to_string(), m(2)), ("b".to_string(), m(2))]);
+    let back = BTreeMap::from([("a".to_string(), m(2)), ("c".to_string(), m(0))]);
+    assert!(!all_know(names.into_iter(), &two, &alive));
+    assert!(all_know(names.into_iter(), &all, &alive));
+    assert!(
+        !all_know(names.into_iter(), &all, &back),
+        "one was rolled back"
+    );
+}
+
+/// 422 for what was never accepted, for itself and for a service; what is done or given twice counts
+/// for nothing; of a cancelled one only that counts.
+#[test]
+fn named_jobs_are_told_apart() {
+    let mut v = View::default();
+    let record = |s: Spec| to_value(&Record(s, Block::default()));
+    v.put(&keys::job("req-1"), &record(spec(Shape::Array, 1)), 1);
+    v.put(&keys::job("req-2"), &record(spec(Shape::Service, 1)), 2);
+    let fin = |cancelled| Final {
+        cancelled,
+        done: 1,
+        at: 5,
+    };
+    v.remember(&"req-3".into(), fin(false));
+    v.remember(&"req-4".into(), fin(true));
+    let ask = |l: &[&str]| {
+        let l: Vec<String> = l.iter().map(|s| s.to_string()).collect();
+        named(&v, "req-9", &l)
+    };
+    assert_eq!(
+        ask(&["req-1", "req-3", "req-1"]),
+        Named::Needs(vec!["req-1".into()])
+    );
+    assert_eq!(ask(&["req-1", "req-4"]), Named::Needs(vec!["req-4".into()]));
+    assert_eq!(
+        ask(&["req-5", "req-1"]),
+        Named::Unknown(vec!["req-5".into()])
+    );
+    assert!(matches!(ask(&["req-9"]), Named::Impossible(_)));
+    assert!(matches!(ask(&["req-2"]), Named::Impossible(_)));
+}
+
+/// Rank and deadline of a last job reach those before it; their waits count from the last `done`.
+#[test]
+fn a_pipeline_has_the_rank_and_time_of_its_last_job() {
+    let mut v = View::default();
+    let put = |v: &mut View, id: &str, rev, s: Spec| {
+        v.put(&keys::job(id), &to_value(&Record(s, Block::default())), rev);
+    };
+    let step = |needs: &[&str]| {
+        let mut s = spec(Shape::Array, 2);
+        s.deadline = None;
+        s.needs.jobs = Ids(needs.iter().map(|n| (*n).into()).collect());
+        s
+    };
+    // As a restart reads them: the last one comes first.
+    let mut last = step(&["req-3"]);
+    last.rank = Rank::High;
+    last.deadline = Some(200_000_000);
+    put(&mut v, "req-1", 9, last.clone());
+    put(&mut v, "req-3", 8, step(&["req-4"]));
+    put(&mut v, "req-4", 7, step(&[]));
+    assert_eq!(v.jobs["req-4"].rank, Rank::High);
+    let due = last.submitted + 200_000_000;
+    assert!(
+        v.jobs["req-4"]
+            .due
+            .is_some_and(|d| d < due - 2 * last.estimate)
+    );
+    assert!(v.jobs["req-4"].ready && !v.jobs["req-3"].ready);
+    v.remember(
+        &"req-4".into(),
+        Final {
+            cancelled: false,
+            done: 2,
+            at: last.submitted + 77,
+        },
+    );
+    v.delete(&keys::job("req-4"), 10);
+    assert!(v.jobs["req-3"].ready && !v.jobs["req-1"].ready);
+    assert_eq!(v.jobs["req-3"].since, last.submitted + 77);
+}
