--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -165,6 +165,9 @@
     /// Runs a transaction.
     pub async fn txn(&self, t: &Txn) -> Outcome {
         self.budget(t.then.len()).await;
+        if tracing::enabled!(tracing::Level::DEBUG) {
+            tracing::debug!(changes = t.kinds(), "transaction");
+        }
         match self
             .call(Method::Post, state::TXN, Some(encode(t)), LIMIT)
             .await
--- a/src/wire/state.rs
+++ b/src/wire/state.rs
@@ -2,6 +2,7 @@
 
 use ciborium::Value;
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 
 /// Path of transactions.
 pub const TXN: &str = "/multi";
@@ -91,6 +92,24 @@
 }
 
 impl Txn {
+    /// How many keys of each kind it changes, for the log.
+    pub fn kinds(&self) -> String {
+        let mut n: BTreeMap<(&str, &str), usize> = BTreeMap::new();
+        for c in &self.then {
+            let kind = c.key().split('/').nth(1).unwrap_or_default();
+            let what = match c {
+                Change::Put { .. } => "+",
+                Change::Delete { .. } => "-",
+            };
+            *n.entry((what, kind)).or_default() += 1;
+        }
+        let list: Vec<String> = n
+            .iter()
+            .map(|((what, kind), n)| format!("{what}{kind}:{n}"))
+            .collect();
+        list.join(" ")
+    }
+
     /// The size of its largest value, as limits count it.
     pub fn largest(&self) -> usize {
         let size = |c: &Change| match c {
