--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -91,6 +91,8 @@
     Parts,
     Machines,
     Fairness,
+    Layout,
+    Pipelines,
 }
 
 /// Exit code for settings or policy that cannot be used.
@@ -133,6 +135,8 @@
                 What::Parts => "/inspect/parts",
                 What::Machines => "/inspect/machines",
                 What::Fairness => "/inspect/fairness",
+                What::Layout => "/inspect/layout",
+                What::Pipelines => "/inspect/pipelines",
             };
             ask(node, Method::Get, path, None)
         }
--- a/src/jobs/front.rs
+++ b/src/jobs/front.rs
@@ -25,6 +25,9 @@
 /// list is taken when the user comes back, with the answers kept.
 const ASKS: usize = 40;
 
+/// So many waiting jobs are shown to an operator: an answer may hold 64 KiB.
+const PIPELINES: usize = 200;
+
 /// Transactions that a withdrawal may take: a placement may come in between, a record may have to be
 /// split first.
 const TRIES: usize = 12;
@@ -415,6 +418,20 @@
                     .collect();
                 Reply::with(200, &m)
             }
+            "/inspect/layout" => Reply::with(200, &(&v.versions, &v.layout)),
+            "/inspect/pipelines" => {
+                let m: std::collections::BTreeMap<&str, _> = v
+                    .jobs
+                    .iter()
+                    .filter(|(_, j)| !j.needs.is_empty())
+                    .filter_map(|(id, _)| {
+                        let id: &str = id;
+                        Some((id, answer(&v, id)?))
+                    })
+                    .take(PIPELINES)
+                    .collect();
+                Reply::with(200, &m)
+            }
             "/inspect/fairness" => Reply::with(200, &(&v.counts, &v.raises)),
             _ => Reply::status(404),
         }
