--- a/src/jobs/commit.rs
+++ b/src/jobs/commit.rs
@@ -402,9 +402,8 @@
     }
 }
 
-/// Bytes that a slot may take in a key that a block was split into: a machine of its own, with an
-/// attempt and a grace that no other slot has.
-const SLOT_BYTES: usize = 30;
+/// A key that a block is split into has room to grow: what is placed and done in turns takes more.
+const FILL: usize = 75;
 
 impl Group {
     /// Adds the writes that give a block this content, and tells whether that splits the block.
@@ -493,11 +492,9 @@
         before: u32,
         limits: Limits,
     ) -> (u32, Vec<Change>) {
-        let mut per = match before {
-            0 => ((limits.value / SLOT_BYTES) as u32).clamp(1, BLOCK / 2),
-            _ => (before / 2).max(1),
-        };
-        while per > 1 && leaves(b, per).any(|(_, l)| json_size(&Stored::Packed(l)) > limits.value) {
+        let mut per = (if before == 0 { BLOCK } else { before }).div_ceil(2);
+        let most = limits.value * FILL / 100;
+        while per > 1 && leaves(b, per).any(|(_, l)| json_size(&Stored::Packed(l)) > most) {
             per = per.div_ceil(2);
         }
         let mut out = Vec::new();
--- a/src/jobs/front.rs
+++ b/src/jobs/front.rs
@@ -335,6 +335,10 @@
             }
         }
         if self.store.write_queue() > QUEUE {
+            tracing::debug!(
+                queue = self.store.write_queue(),
+                "submission: too many writes wait"
+            );
             return Reply::later(429, COME_BACK);
         }
         // Long lists of needed jobs come in steps before the record.
--- a/src/jobs/model.rs
+++ b/src/jobs/model.rs
@@ -365,11 +365,42 @@
 
 /// Numbers of slots as runs: how many to skip, how many to take, and so on.
 type Runs = Vec<u32>;
-/// Equal placements: machine, session, attempt, grace in milliseconds plus 1, slots.
-type PackedRun = (Rc<str>, u64, u32, u64, Runs);
+/// Equal placements but for their machines: what the machines' names begin with, session, attempt,
+/// grace in milliseconds plus 1, slots; then, for these slots in order, the rest of each machine's name
+/// (a key holds no spaces), and how many slots in a row have it, if not one each.
+type PackedRun = (String, u64, u32, u64, Runs, String, Vec<u32>);
+
+/// What equal placements share: session, attempt, grace.
+type Alike = (u64, u32, u64);
+
+/// Placements that share all but their machines.
+#[derive(Default)]
+struct Group<'a> {
+    runs: Runs,
+    end: u32,
+    hosts: Vec<(&'a str, u32)>,
+}
 
-/// What equal placements share.
-type Alike<'a> = (&'a Rc<str>, u64, u32, u64);
+impl Group<'_> {
+    /// What all names begin with.
+    fn prefix(&self) -> String {
+        let mut names = self.hosts.iter().map(|(h, _)| *h);
+        let first = names.next().unwrap_or_default();
+        let mut n = first.len();
+        for h in names {
+            n = first
+                .bytes()
+                .zip(h.bytes())
+                .take(n)
+                .take_while(|(a, b)| a == b)
+                .count();
+        }
+        while !first.is_char_boundary(n) {
+            n -= 1;
+        }
+        first[..n].to_string()
+    }
+}
 
 /// A block as it is written once every controller reads this: equal slots together. A slot that is
 /// in no list was never placed.
@@ -422,7 +453,7 @@
         };
         let mut done_end = 0;
         let mut waiting: BTreeMap<u32, (Runs, u32)> = BTreeMap::new();
-        let mut placed: BTreeMap<Alike<'_>, (Runs, u32)> = BTreeMap::new();
+        let mut placed: BTreeMap<Alike, Group<'_>> = BTreeMap::new();
         for (i, s) in b.0.iter().enumerate() {
             let i = i as u32;
             match s {
@@ -434,17 +465,28 @@
                 Slot::Done => add_run(&mut out.done, &mut done_end, i),
                 Slot::Placed(p) => {
                     let grace = p.stop.map_or(0, |g| g / 1000 + 1);
-                    let (runs, end) = placed
-                        .entry((&p.host, p.session, p.attempt, grace))
-                        .or_default();
-                    add_run(runs, end, i);
+                    let g = placed.entry((p.session, p.attempt, grace)).or_default();
+                    add_run(&mut g.runs, &mut g.end, i);
+                    match g.hosts.last_mut() {
+                        Some((h, n)) if **h == *p.host => *n += 1,
+                        _ => g.hosts.push((&p.host, 1)),
+                    }
                 }
             }
         }
         out.waiting = waiting.into_iter().map(|(a, (r, _))| (a, r)).collect();
         out.placed = placed
             .into_iter()
-            .map(|((h, s, a, g), (r, _))| (h.clone(), s, a, g, r))
+            .map(|((session, attempt, grace), g)| {
+                let prefix = g.prefix();
+                let rest: Vec<&str> = g.hosts.iter().map(|(h, _)| &h[prefix.len()..]).collect();
+                let mut counts: Vec<u32> = g.hosts.iter().map(|(_, n)| *n).collect();
+                if counts.iter().all(|n| *n == 1) {
+                    counts.clear();
+                }
+                let names = rest.join(" ");
+                (prefix, session, attempt, grace, g.runs, names, counts)
+            })
             .collect();
         out
     }
@@ -457,14 +499,21 @@
         for (a, runs) in &p.waiting {
             each_run(runs, len, |i| b.0[i] = Slot::Waiting(*a));
         }
-        for (host, session, attempt, grace, runs) in &p.placed {
+        for (prefix, session, attempt, grace, runs, names, counts) in &p.placed {
+            let mut hosts = names.split(' ').enumerate().flat_map(|(k, rest)| {
+                let host: Rc<str> = format!("{prefix}{rest}").into();
+                let n = counts.get(k).copied().unwrap_or(1).min(len);
+                std::iter::repeat_n(host, n as usize)
+            });
             each_run(runs, len, |i| {
-                b.0[i] = Slot::Placed(Placement {
-                    attempt: *attempt,
-                    host: host.clone(),
-                    session: *session,
-                    stop: grace.checked_sub(1).map(|ms| ms * 1000),
-                });
+                if let Some(host) = hosts.next() {
+                    b.0[i] = Slot::Placed(Placement {
+                        attempt: *attempt,
+                        host,
+                        session: *session,
+                        stop: grace.checked_sub(1).map(|ms| ms * 1000),
+                    });
+                }
             });
         }
         each_run(&p.done, len, |i| b.0[i] = Slot::Done);
--- a/src/node.rs
+++ b/src/node.rs
@@ -748,6 +748,17 @@
                     continue;
                 }
                 level -= n;
+                if tracing::enabled!(tracing::Level::DEBUG) {
+                    let of = |f: &dyn Fn(&Intent) -> usize| intents.iter().map(f).sum::<usize>();
+                    let places = of(&|i| match i {
+                        Intent::Place { tasks, .. } => tasks.len(),
+                        _ => 0,
+                    });
+                    let lefts = of(&|i| usize::from(matches!(i, Intent::Left { .. })));
+                    let stops = of(&|i| usize::from(matches!(i, Intent::Stop { .. })));
+                    let jobs = s.jobs.len();
+                    tracing::debug!(keep, n, jobs, places, lefts, stops, level, "staged");
+                }
                 busy.extend(s.jobs.iter().cloned());
                 out.push(s);
             }
