--- a/src/hosts/mod.rs
+++ b/src/hosts/mod.rs
@@ -324,7 +324,9 @@
         let s = &j.spec;
         let lacking = unplaced.get(&**id).copied().unwrap_or(0);
         let service = s.kind == Shape::Service;
-        if j.cancelled() || !j.ready || (service && lacking == 0) {
+        // The next steps of a pipeline count once those before them are about to end.
+        let queued = v.queued_soon(j);
+        if queued + j.placed == 0 || j.cancelled() || (service && lacking == 0) {
             continue;
         }
         let types = candidates(v, s);
@@ -350,7 +352,7 @@
             o.policy.drain_normal
         };
         let run = s.estimate.max(SECOND) as f64 / 1e6;
-        let tasks = f64::from(j.waiting) + f64::from(j.placed) / 2.0;
+        let tasks = f64::from(queued) + f64::from(j.placed) / 2.0;
         let key: Vec<&str> = types.iter().map(|t| t.sku.as_str()).collect();
         let pool = pools.entry(key).or_insert_with(|| Pool::new(types));
         pool.load.push((
@@ -359,7 +361,7 @@
             tasks * run / per,
         ));
         pool.whole += whole;
-        pool.waits += f64::from(j.waiting) / per;
+        pool.waits += f64::from(queued) / per;
         if s.kind == Shape::Gang {
             pool.gang = pool.gang.max(f64::from(s.tasks) / per);
         }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -292,7 +292,12 @@
     let mut queue: Vec<Entry<'_>> = Vec::new();
     for (id, job) in &v.jobs {
         let kind = job.spec.kind;
-        if job.queued() == 0
+        let queued = if s.forecast {
+            v.queued_soon(job)
+        } else {
+            job.queued()
+        };
+        if queued == 0
             || (kind == Shape::Gang && !s.gangs)
             || (kind == Shape::Array && !s.arrays)
             || (!s.forecast && (s.held_back)(id))
--- a/src/store/view.rs
+++ b/src/store/view.rs
@@ -513,6 +513,26 @@
         out
     }
 
+    /// Tasks that may start now, or, of a job that waits only for some whose tasks all run, within
+    /// about the time that a machine takes to boot.
+    pub fn queued_soon(&self, j: &Job) -> u32 {
+        if j.ready || j.cancelled() {
+            return j.queued();
+        }
+        let ends = |n: &JobId| {
+            self.gates.contains_key(n)
+                || self
+                    .jobs
+                    .get(n)
+                    .is_some_and(|x| x.ready && x.waiting == 0 && x.placed > 0)
+        };
+        if j.needs.iter().all(ends) {
+            j.waiting
+        } else {
+            0
+        }
+    }
+
     /// The same for all jobs.
     pub fn unknown_gates(&self) -> Vec<JobId> {
         self.dependents
