Machines are returned many with one write; idle ones need not close first

Change: leaving/NAME names up to 50 machines and overrides their keys; these are deleted with writes to spare. Only once the newer layout is in force and lower limits are announced.

--- a/src/hosts/lead.rs
+++ b/src/hosts/lead.rs
@@ -1,6 +1,6 @@
 //! The leader's loop: machine types, list, rentals, returns.
 
-use super::model::{Charter, Host, HostState, put_host};
+use super::model::{Charter, Host, HostState, Leaving, put_host};
 use super::{Outlook, decide};
 use crate::node::Node;
 use crate::placement::{self, Open, Scene};
@@ -87,6 +87,7 @@
             self.read_list(mem).await;
             self.clean().await;
             self.close_charters().await;
+            self.close_leaving().await;
         }
         if now.saturating_sub(mem.round_at) >= self.policy.fairness_round {
             mem.round_at = now;
@@ -94,6 +95,7 @@
         }
         self.carry_out_charters(mem);
         self.carry_out_returns(mem);
+        self.carry_out_leaving(mem);
         let begun = self.clock.now();
         if begun.saturating_sub(mem.decide_at) < mem.decide_every {
             return;
@@ -154,7 +156,11 @@
         };
         let took = self.clock.now().saturating_sub(begun);
         mem.decide_every = DECIDE.max(took * DECIDE_REST);
-        self.mark(&decision.give_back, HostState::Returning).await;
+        if self.limits().packed {
+            self.leave(mem, &decision.give_back).await;
+        } else {
+            self.mark(&decision.give_back, HostState::Returning).await;
+        }
         self.mark(&decision.close, HostState::Closing).await;
         self.mark(&decision.reopen, HostState::Up).await;
         for c in decision.rent {
@@ -164,6 +170,7 @@
         }
         self.carry_out_charters(mem);
         self.carry_out_returns(mem);
+        self.carry_out_leaving(mem);
     }
 
     async fn read_types(&self) {
@@ -379,6 +386,157 @@
         }
     }
 
+    /// Marks machines as returning, many with one write: when a deployment shrinks, a write for each
+    /// would take longer than the work that is left.
+    async fn leave(&self, mem: &mut Memory, ids: &[Rc<str>]) {
+        for chunk in ids.chunks(self.per_charter()) {
+            // See `mark`: they must still be empty.
+            if !self.barrier().await {
+                return;
+            }
+            let names: Vec<Rc<str>> = {
+                let v = self.view.borrow();
+                chunk
+                    .iter()
+                    .filter(|id| {
+                        v.tasks_on(id).is_none()
+                            && v.hosts
+                                .get(*id)
+                                .is_some_and(|h| h.state != HostState::Returning)
+                    })
+                    .cloned()
+                    .collect()
+            };
+            if names.is_empty() {
+                continue;
+            }
+            mem.charter_no += 1;
+            let key = keys::leaving(&self.charter_name(mem.charter_no));
+            let count = names.len();
+            let t = Txn {
+                guards: vec![
+                    Guard {
+                        path: key.clone(),
+                        stamp: 0,
+                    },
+                    Guard {
+                        path: keys::LEADER.into(),
+                        stamp: self.view.borrow().stamp(keys::LEADER),
+                    },
+                ],
+                then: vec![Change::Put {
+                    put: key,
+                    v: to_value(&Leaving { names, gone: false }),
+                    permit: None,
+                }],
+            };
+            if let Outcome::Done(rev) = self.store.txn(&t).await {
+                tracing::info!(machines = count, "returning");
+                self.wrote(&t, rev);
+            }
+        }
+    }
+
+    /// Returns the machines of every such write to the cloud; also those of older leaders.
+    fn carry_out_leaving(self: &Rc<Node>, mem: &mut Memory) {
+        let list: Vec<(String, Leaving)> = {
+            let v = self.view.borrow();
+            v.leaving
+                .iter()
+                .filter(|(n, l)| !l.gone && !mem.under_way.borrow().contains(*n))
+                .map(|(n, l)| (n.clone(), l.clone()))
+                .collect()
+        };
+        let wall = wall();
+        for (name, l) in list {
+            for id in &l.names {
+                mem.returned.insert(id.to_string(), wall);
+            }
+            mem.under_way.borrow_mut().insert(name.clone());
+            let n = self.clone();
+            let under_way = mem.under_way.clone();
+            self.ex
+                .spawn(async move {
+                    n.return_leaving(&name, l).await;
+                    under_way.borrow_mut().remove(&name);
+                })
+                .detach();
+        }
+    }
+
+    async fn return_leaving(&self, name: &str, mut l: Leaving) {
+        let key = keys::leaving(name);
+        if !self.barrier().await {
+            return self.sleep(SECOND / 4).await;
+        }
+        // A placement that did not know of it yet: that machine stays.
+        let busy = {
+            let v = self.view.borrow();
+            let before = l.names.len();
+            l.names.retain(|id| v.tasks_on(id).is_none());
+            before - l.names.len()
+        };
+        if busy == 0 {
+            let body = encode(&Names {
+                deckhands: l.names.iter().map(|i| i.to_string()).collect(),
+            });
+            let a = self
+                .http
+                .call(self.settings.cloud, Method::Post, RETURN, Some(body), LIMIT)
+                .await;
+            if !a.is_ok_and(|a| a.status == 200) {
+                return self.sleep(SECOND).await;
+            }
+            // Answered 200: they are gone with all that was on them.
+            l.gone = true;
+        }
+        let t = {
+            let v = self.view.borrow();
+            let change = if l.names.is_empty() {
+                Change::Delete {
+                    remove: key.clone(),
+                }
+            } else {
+                Change::Put {
+                    put: key.clone(),
+                    v: to_value(&l),
+                    permit: None,
+                }
+            };
+            Txn {
+                guards: vec![Guard {
+                    stamp: v.stamp(&key),
+                    path: key,
+                }],
+                then: vec![change],
+            }
+        };
+        match self.store.txn(&t).await {
+            Outcome::Done(rev) => self.wrote(&t, rev),
+            // Returned once more: the cloud ignores names that it does not know.
+            _ => {
+                self.barrier().await;
+                self.sleep(SECOND / 4).await;
+            }
+        }
+    }
+
+    /// Deletes the keys of machines that are gone, with writes that nobody else needs.
+    async fn close_leaving(&self) {
+        loop {
+            let n = self.to_spare().min(self.state_limits().txn_ops);
+            if n == 0 {
+                return;
+            }
+            let t = forget_gone(&self.view.borrow(), n);
+            let Some(t) = t else { return };
+            match self.store.txn(&t).await {
+                Outcome::Done(rev) => self.wrote(&t, rev),
+                _ => return,
+            }
+        }
+    }
+
     fn charter_name(&self, n: u64) -> String {
         format!("{}-{}-{n}", self.me(), self.lease.get().unwrap_or(0))
     }
@@ -533,6 +691,7 @@
                 .iter()
                 .filter(|(id, h)| {
                     matches!(h.state, HostState::Lost | HostState::Returning)
+                        && !v.is_leaving(id)
                         && !mem.returning.borrow().contains(*id)
                 })
                 .map(|(id, _)| (v.tasks_on(id).is_none(), id.clone()))
@@ -651,3 +810,31 @@
             Some(t)
         })
 }
+
+/// Deletes up to `n` keys of machines that are gone, and what named them once none is left.
+pub fn forget_gone(v: &View, n: usize) -> Option<Txn> {
+    let mut t = Txn::default();
+    for (name, l) in v.leaving.iter().filter(|(_, l)| l.gone) {
+        let mut rest = false;
+        for id in &l.names {
+            let key = keys::host(id);
+            if v.stamp(&key) == 0 {
+                continue;
+            }
+            if t.then.len() >= n {
+                rest = true;
+                break;
+            }
+            t.then.push(Change::Delete { remove: key });
+        }
+        // As long as a charter names one of them, this says that it is gone.
+        let named = |c: &Charter| c.names.iter().any(|x| l.names.iter().any(|y| **y == **x));
+        if rest || t.then.len() >= n || v.charters.values().any(named) {
+            continue;
+        }
+        t.then.push(Change::Delete {
+            remove: keys::leaving(name),
+        });
+    }
+    (!t.then.is_empty()).then_some(t)
+}
--- a/src/hosts/mod.rs
+++ b/src/hosts/mod.rs
@@ -376,8 +376,13 @@
     let mut keep = spare_have(o) - spare_need(o);
     for p in pools.into_values() {
         let idle = p.idle(o);
-        if !idle.is_empty() {
-            out.close.extend(idle);
+        for id in idle {
+            // What has nothing on it and is paid for need not close first.
+            if v.tasks_on(&id).is_none() {
+                out.give_back.push(id);
+            } else {
+                out.close.push(id);
+            }
         }
         if p.tasks == 0 {
             out.close.extend(p.surplus(o, &mut keep));
@@ -484,6 +489,7 @@
         // Guests leave when they are asked to; whoever needs the GPUs counts.
         let guests = v.tasks_on(id).is_some();
         let empty = h.state == HostState::Up
+            && !out.give_back.contains(id)
             && only_guests(v, id, h)
             && o.forecast.free.get(id).is_some_and(|f| {
                 if guests || whole.gpus > 0 {
--- a/src/hosts/model.rs
+++ b/src/hosts/model.rs
@@ -6,6 +6,7 @@
 use crate::wire::state::{Change, Guard, Txn};
 use crate::wire::to_value;
 use serde::{Deserialize, Serialize};
+use std::rc::Rc;
 
 /// What is wanted of a machine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -117,3 +118,16 @@
         self.names.is_empty()
     }
 }
+
+/// Machines on their way back to the cloud, marked with one write. Where a key names a machine, that
+/// overrides the machine's own key.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Leaving {
+    /// The machines.
+    #[serde(rename = "m")]
+    pub names: Vec<Rc<str>>,
+    /// The cloud has answered 200: they are gone with all that was on them. Their keys are deleted when
+    /// writes are to spare, and then this one.
+    #[serde(rename = "g", default)]
+    pub gone: bool,
+}
--- a/src/store/keys.rs
+++ b/src/store/keys.rs
@@ -11,6 +11,7 @@
     "c/job/",
     "c/layout",
     "c/leader",
+    "c/leaving/",
     "c/member/",
     "c/needs/",
     "c/part/",
@@ -66,6 +67,10 @@
 pub fn charter(name: &str) -> String {
     format!("c/charter/{name}")
 }
+/// Machines on their way back.
+pub fn leaving(name: &str) -> String {
+    format!("c/leaving/{name}")
+}
 /// A controller's counts.
 pub fn counts(node: &str) -> String {
     format!("c/counts/{node}")
--- a/src/store/view.rs
+++ b/src/store/view.rs
@@ -2,7 +2,7 @@
 //! watches and the node's own transactions.
 
 use crate::fairness::{Counts, Raises};
-use crate::hosts::model::{Charter, Host};
+use crate::hosts::model::{Charter, Host, HostState, Leaving};
 use crate::jobs::model::{
     AnyRecord, BLOCK, Block, Final, Ids, JobId, Placement, Room, Slot, Spec, Stored, blocks, fresh,
 };
@@ -126,6 +126,12 @@
     pub hosts: BTreeMap<Rc<str>, Host>,
     /// Rentals under way.
     pub charters: BTreeMap<String, Charter>,
+    /// Machines on their way back to the cloud.
+    pub leaving: BTreeMap<String, Leaving>,
+    /// The same by machine: whether it is gone.
+    left: HashMap<Rc<str>, bool>,
+    /// What their own keys say of them.
+    own_state: HashMap<Rc<str>, HostState>,
     /// Counts of the controllers.
     pub counts: BTreeMap<String, Counts>,
     /// Raises of the last round.
@@ -170,7 +176,8 @@
 
     /// Whether a key is known to have been deleted.
     pub fn deleted(&self, key: &str) -> bool {
-        self.tombs.contains_key(key)
+        let gone = |id: &str| self.left.get(id) == Some(&true);
+        self.tombs.contains_key(key) || key.strip_prefix("c/host/").is_some_and(gone)
     }
 
     /// A write at a revision. Older ones than what is known are ignored.
@@ -192,17 +199,21 @@
         if rev <= self.stamp(key) || rev <= self.tombs.get(key).copied().unwrap_or(0) {
             return;
         }
-        self.tombs.insert(key.to_string(), rev);
-        self.tomb_order.push_back(key.to_string());
+        self.bury(key.to_string(), rev);
+        if self.stamps.remove(key).is_some() {
+            self.epoch += 1;
+            self.apply(key, None);
+        }
+    }
+
+    fn bury(&mut self, key: String, rev: u64) {
+        self.tombs.insert(key.clone(), rev);
+        self.tomb_order.push_back(key);
         while self.tomb_order.len() > TOMBS {
             if let Some(k) = self.tomb_order.pop_front() {
                 self.tombs.remove(&k);
             }
         }
-        if self.stamps.remove(key).is_some() {
-            self.epoch += 1;
-            self.apply(key, None);
-        }
     }
 
     /// After a full read of a prefix: forget keys that it did not show and that are not newer.
@@ -290,7 +301,33 @@
                 }
                 self.hosts_epoch += 1;
                 self.touched.insert(id.clone());
-                put(&mut self.hosts, id, v);
+                put(&mut self.hosts, id.clone(), v);
+                self.depart(&id);
+            }
+            "leaving" => {
+                let old = self.leaving.get(id).map(|l| l.names.clone());
+                put(&mut self.leaving, id.to_string(), v);
+                let new = self.leaving.get(id).cloned().unwrap_or_default();
+                for n in old.into_iter().flatten() {
+                    if !new.names.contains(&n) {
+                        if self.left.remove(&n) == Some(true) {
+                            // A list of the cloud that lags may show it for a while.
+                            self.bury(keys::host(&n), u64::MAX);
+                        }
+                        // Not returned after all, or gone and its key deleted.
+                        if let Some(h) = self.own_state.remove(&n)
+                            && let Some(x) = self.hosts.get_mut(&n)
+                        {
+                            x.state = h;
+                        }
+                    }
+                }
+                for n in new.names {
+                    self.left.insert(n.clone(), new.gone);
+                    self.touched.insert(n.clone());
+                    self.depart(&n);
+                }
+                self.hosts_epoch += 1;
             }
             "final" => {
                 let id: JobId = id.into();
@@ -397,6 +434,11 @@
 
     // ---- pipelines ----
 
+    /// Whether a machine was marked as on its way back together with others.
+    pub fn is_leaving(&self, id: &str) -> bool {
+        self.left.contains_key(id)
+    }
+
     /// Jobs that a job needs, once they are known.
     fn link(&mut self, id: &JobId) {
         let Some(j) = self.jobs.get_mut(id) else {
@@ -552,6 +594,27 @@
         self.dependents.contains_key(id)
     }
 
+    /// A machine that is on its way back is that whatever its own key says; one that is gone does not
+    /// come back by a write that was made before its owner heard of it.
+    fn depart(&mut self, id: &Rc<str>) {
+        match self.left.get(id) {
+            Some(true) => {
+                self.hosts.remove(id);
+                self.own_state.remove(id);
+                self.images.remove(id);
+            }
+            Some(false) => {
+                if let Some(h) = self.hosts.get_mut(id)
+                    && h.state != HostState::Returning
+                {
+                    self.own_state.insert(id.clone(), h.state);
+                    h.state = HostState::Returning;
+                }
+            }
+            None => {}
+        }
+    }
+
     /// Machines that a charter names and that have no key yet stand in the view all the same: one
     /// write makes many machines known. Once written, a machine's own key says everything.
     fn derive_hosts(&mut self, old: Vec<String>, charter: &str) {
@@ -569,9 +632,11 @@
             let key = keys::host(&n);
             if let Some(h) = &like
                 && !self.stamps.contains_key(&key)
-                && !self.tombs.contains_key(&key)
+                && !self.deleted(&key)
             {
-                self.hosts.entry(n.into()).or_insert_with(|| h.clone());
+                let id: Rc<str> = n.into();
+                self.hosts.entry(id.clone()).or_insert_with(|| h.clone());
+                self.depart(&id);
                 self.hosts_epoch += 1;
             }
         }
--- a/tests/grown.rs
+++ b/tests/grown.rs
@@ -1,7 +1,8 @@
 //! Fleets of the grown deployments' size: plans keep the Rules and equal those of a plain one,
 //! transactions keep the limits of size and count.
 
-use coppergw::hosts::model::{Charter, Host, HostState};
+use coppergw::hosts::lead::forget_gone;
+use coppergw::hosts::model::{Charter, Host, HostState, Leaving};
 use coppergw::jobs::commit::{Intent, Limits, stage};
 use coppergw::jobs::model::{Block, JobId, Record, Room, Slot, Spec};
 use coppergw::members::{PARTS, Part};
@@ -395,3 +396,43 @@
     let left: Vec<&str> = w.view.hosts.keys().map(|k| &**k).collect();
     assert_eq!(left, vec!["m-1"]);
 }
+
+/// Machines marked together are on their way back whatever their own keys say; one that got a task
+/// after all stays; one that is gone does not come back by a late write, nor from a list that lags.
+#[test]
+fn machines_leave_together() {
+    let mut w = World::new(&[(false, false), (false, false)]);
+    let names: Vec<Rc<str>> = w.view.hosts.keys().cloned().collect();
+    let up = w.view.hosts[&names[0]].clone();
+    let key = keys::leaving("a");
+    let leaving = |names: &[Rc<str>], gone| {
+        to_value(&Leaving {
+            names: names.to_vec(),
+            gone,
+        })
+    };
+    w.put(key.clone(), leaving(&names, false));
+    let closing = Host {
+        state: HostState::Closing,
+        ..up.clone()
+    };
+    w.put(keys::host(&names[0]), to_value(&closing));
+    assert!(
+        w.view
+            .hosts
+            .values()
+            .all(|h| h.state == HostState::Returning)
+    );
+    w.put(key.clone(), leaving(&names[1..], false));
+    assert_eq!(w.view.hosts[&names[0]].state, HostState::Closing);
+    w.put(key.clone(), leaving(&names[1..], true));
+    w.put(keys::host(&names[1]), to_value(&up));
+    assert!(
+        !w.view.hosts.contains_key(&names[1]),
+        "written after it was gone"
+    );
+    let t = forget_gone(&w.view, 5).expect("keys to delete");
+    w.apply(&t);
+    assert_eq!(t.then.len(), 2, "the machine's key, then what named it");
+    assert!(w.view.deleted(&keys::host(&names[1])) && w.view.leaving.is_empty());
+}
