--- a/src/node.rs
+++ b/src/node.rs
@@ -146,6 +146,8 @@
 /// Others' waiting tasks are taken only after this: their owner comes first.
 const TAKE_SERVICE: Micros = 6 * SECOND / 5;
 const TAKE_ARRAY: Micros = 3 * SECOND;
+/// A step of a pipeline has little time to lose.
+const TAKE_PIPED: Micros = 4 * SECOND / 5;
 /// The same if their owner is not there.
 const TAKE_ORPHAN: Micros = 3 * SECOND / 10;
 /// Pause between two reads of the watch: every write would otherwise cost each node a request.
@@ -851,6 +853,7 @@
             });
             let wait = match (alive, job.spec.kind) {
                 (false, _) => TAKE_ORPHAN,
+                _ if job.piped && job.due.is_some() => TAKE_PIPED,
                 (true, Shape::Service) => TAKE_SERVICE,
                 _ => TAKE_ARRAY,
             };
