--- a/src/node.rs
+++ b/src/node.rs
@@ -137,6 +137,8 @@
 /// Exits of array tasks of which nobody waits to hear are written this much later, together.
 const LAZY: Micros = 2 * SECOND;
 const LAZY_MAX: Micros = 8 * SECOND;
+/// Exits that were asked for come in numbers: so much later one write takes them together.
+const ASKED: Micros = 3 * SECOND / 10;
 /// What must run again, or may end a job, is written after this.
 const SOON: Micros = 2 * SECOND / 5;
 /// Shares of the burst of writes that stay for what comes before: placements of arrays leave room
@@ -185,7 +187,7 @@
         _ => false,
     };
     if lefts.iter().any(asked) {
-        return 0;
+        return ASKED;
     }
     match lefts.iter().all(done) {
         true if all && j.waiting == 0 => 0,
@@ -701,7 +703,9 @@
             let Some(j) = view.jobs.get(id) else { continue };
             let at = *since.entry(id.clone()).or_insert(now);
             match patience(j, list) {
-                0 => first.extend(list.iter().cloned()),
+                wait @ 0..=ASKED if now.saturating_sub(at) >= wait => {
+                    first.extend(list.iter().cloned());
+                }
                 wait if now.saturating_sub(at) >= wait => books.push((at, id)),
                 _ => {}
             }
@@ -732,8 +736,11 @@
             if let Some(l) = by_job.get(i.job()) {
                 first.extend(l.iter().cloned());
             }
+            // A step of a pipeline that has its deadline before it goes with services and gangs.
             let array = matches!(&i, Intent::Place { job, .. }
-                if view.jobs.get(job).is_some_and(|j| j.spec.kind == Shape::Array));
+            if view.jobs.get(job).is_some_and(|j| {
+                j.spec.kind == Shape::Array && !(j.piped && j.due.is_some())
+            }));
             if array { &mut later } else { &mut first }.push(i);
         }
         let capped = |t: &str| self.settings.team(t).is_some_and(|t| t.capped());
