Accepting a job with long lists is pure; tests of lists, charters, what fits, announced limits

A later try at a submission of which an earlier one wrote some lists of needed jobs now writes those anew that differ: a job that was not done then moves the others, and one could have been left out.

--- a/src/jobs/commit.rs
+++ b/src/jobs/commit.rs
@@ -3,7 +3,7 @@
 //! Each intent is checked again against the view when it is staged, and its transaction guards the
 //! versions that it was staged on: a late or repeated transaction changes nothing.
 
-use super::model::{AnyRecord, BLOCK, Block, Final, JobId, Placement, Slot, Spec, Stored};
+use super::model::{AnyRecord, BLOCK, Block, Final, Ids, JobId, Placement, Slot, Spec, Stored};
 use crate::members::part_of;
 use crate::store::keys;
 use crate::store::view::{Job, View};
@@ -593,7 +593,7 @@
 }
 
 /// A job's record as it is written when the job is accepted.
-pub fn accepted(spec: Spec, limits: Limits) -> AnyRecord {
+fn accepted(spec: Spec, limits: Limits) -> AnyRecord {
     let none = Block::default();
     AnyRecord(
         spec,
@@ -605,6 +605,66 @@
     )
 }
 
+/// The next writes that accept a job: its record, and before it keys of their own for jobs that it
+/// needs and that do not fit in there. These come in steps if need be, and mean nothing without the
+/// record, which guards them. `None`: it fits into no value.
+pub fn acceptance(view: &View, id: &str, mut spec: Spec, limits: Limits) -> Option<Vec<Txn>> {
+    let fits = |spec: &Spec| json_size(&accepted(spec.clone(), limits)) <= limits.value;
+    let mut extra: Vec<(String, Ids)> = Vec::new();
+    if !fits(&spec) {
+        let all = std::mem::take(&mut spec.needs).jobs.0;
+        // Room for the count of keys.
+        spec.needs.keys = u32::MAX;
+        if !fits(&spec) {
+            return None;
+        }
+        let mut bytes = usize::MAX;
+        for j in all {
+            // Quotes around it all, a space between two.
+            if bytes.saturating_add(j.len() + 3) > limits.value {
+                extra.push((keys::needs(id, extra.len() as u32), Ids::default()));
+                bytes = 0;
+            }
+            bytes += j.len() + 1;
+            if let Some((_, list)) = extra.last_mut() {
+                list.0.push(j);
+            }
+        }
+        spec.needs.keys = extra.len() as u32;
+    }
+    let guard = |path: &str| Guard {
+        path: path.to_string(),
+        stamp: view.stamp(path),
+    };
+    // An earlier try may have written others: some jobs were not done then.
+    let missing: Vec<&(String, Ids)> = extra
+        .iter()
+        .enumerate()
+        .filter(|(k, (_, list))| view.need_list(id, *k as u32) != Some(&list.0))
+        .map(|(_, x)| x)
+        .collect();
+    if !missing.is_empty() {
+        return Some(
+            missing
+                .chunks(limits.ops)
+                .map(|chunk| Txn {
+                    guards: chunk.iter().map(|(k, _)| guard(k)).collect(),
+                    then: chunk.iter().map(|(k, l)| put(k.clone(), l)).collect(),
+                })
+                .collect(),
+        );
+    }
+    let none = |path: String| Guard { path, stamp: 0 };
+    let mut guards = vec![none(keys::job(id)), none(keys::fin(id))];
+    guards.extend(extra.iter().map(|(k, _)| guard(k)));
+    (guards.len() <= limits.guards()).then(|| {
+        vec![Txn {
+            guards,
+            then: vec![put(keys::job(id), &accepted(spec, limits))],
+        }]
+    })
+}
+
 fn blocks_of(tasks: u32) -> u32 {
     super::model::blocks(tasks)
 }
--- a/src/jobs/front.rs
+++ b/src/jobs/front.rs
@@ -1,17 +1,16 @@
 //! Users' requests: submit, poll, withdraw.
 
-use super::commit::{accepted, withdraw};
-use super::model::{Ids, JobId, Needs, Refusal, Spec, admit};
+use super::commit::{acceptance, withdraw};
+use super::model::{Ids, JobId, Refusal, admit};
 use super::pipelines::{Named, answer, final_answer, named};
 use crate::node::Node;
 use crate::store::client::Outcome;
 use crate::store::keys;
 use crate::time::{SECOND, wall};
+use crate::wire::decode;
 use crate::wire::peer::{FORWARD, Forward, Forwarded, pack, unpack};
 use crate::wire::server::{Ask, Reply};
-use crate::wire::state::{Change, Guard, Txn};
 use crate::wire::user::{JobAnswer, Route, Status, Submission, route, valid_id};
-use crate::wire::{decode, json_size, to_value};
 use http_types::Method;
 use std::rc::Rc;
 
@@ -205,70 +204,6 @@
         }
     }
 
-    /// The writes that accept a job: its record, and keys of their own for jobs that it needs and
-    /// that do not fit in there. The latter come before, in steps if need be, and mean nothing
-    /// without the record.
-    fn acceptance(&self, id: &str, mut spec: Spec) -> Option<Vec<Txn>> {
-        let limits = self.limits();
-        let v = self.view.borrow();
-        let mut all = std::mem::take(&mut spec.needs.jobs.0);
-        let fits = |spec: &Spec| json_size(&accepted(spec.clone(), limits)) <= limits.value;
-        spec.needs.jobs = Ids(all.clone());
-        let mut extra: Vec<(String, Ids)> = Vec::new();
-        if !fits(&spec) {
-            spec.needs = Needs::default();
-            // Room for the count of keys.
-            spec.needs.keys = u32::MAX;
-            if !fits(&spec) {
-                return None;
-            }
-            while !all.is_empty() {
-                let mut bytes = 0;
-                let n = all
-                    .iter()
-                    .take_while(|j| {
-                        bytes += j.len() + 1;
-                        bytes < limits.value
-                    })
-                    .count()
-                    .max(1);
-                let rest = all.split_off(n);
-                let k = extra.len() as u32;
-                extra.push((keys::needs(id, k), Ids(std::mem::replace(&mut all, rest))));
-            }
-            spec.needs.keys = extra.len() as u32;
-        }
-        let guard = |path: String, stamp: u64| Guard { path, stamp };
-        let put = |put: String, v: ciborium::Value| Change::Put {
-            put,
-            v,
-            permit: None,
-        };
-        let mut out = Vec::new();
-        let missing: Vec<&(String, Ids)> = extra.iter().filter(|(k, _)| v.stamp(k) == 0).collect();
-        for chunk in missing.chunks(limits.ops) {
-            out.push(Txn {
-                guards: chunk.iter().map(|(k, _)| guard(k.clone(), 0)).collect(),
-                then: chunk
-                    .iter()
-                    .map(|(k, l)| put(k.clone(), to_value(l)))
-                    .collect(),
-            });
-        }
-        if out.is_empty() {
-            let mut guards = vec![guard(keys::job(id), 0), guard(keys::fin(id), 0)];
-            guards.extend(extra.iter().map(|(k, _)| guard(k.clone(), v.stamp(k))));
-            if guards.len() > limits.ops * 4 {
-                return None;
-            }
-            out.push(Txn {
-                guards,
-                then: vec![put(keys::job(id), to_value(&accepted(spec, limits)))],
-            });
-        }
-        Some(out)
-    }
-
     async fn poll(&self, id: &str) -> Reply {
         if !valid_id(id) {
             return Reply::status(404);
@@ -343,7 +278,8 @@
         }
         // Long lists of needed jobs come in steps before the record.
         for _ in 0..TRIES {
-            let Some(steps) = self.acceptance(&s.id, spec.clone()) else {
+            let steps = acceptance(&self.view.borrow(), &s.id, spec.clone(), self.limits());
+            let Some(steps) = steps else {
                 tracing::debug!(id = s.id, "names or lists too long for a value");
                 return Reply::status(400);
             };
--- a/src/store/view.rs
+++ b/src/store/view.rs
@@ -575,6 +575,11 @@
         }
     }
 
+    /// What one of the keys holds that say what a job needs beyond its record.
+    pub fn need_list(&self, id: &str, k: u32) -> Option<&Vec<JobId>> {
+        self.need_keys.get(id)?.get(&k)
+    }
+
     /// The same for all jobs.
     pub fn unknown_gates(&self) -> Vec<JobId> {
         self.dependents
--- a/tests/formats.rs
+++ b/tests/formats.rs
@@ -164,6 +164,13 @@
     assert!(bad("lease_s = 18.0", "lease_s = -1.0").contains("lease_s"));
     assert!(bad("lease_s = 18.0", "lease_s = 'x'").contains("lease_s (line"));
     assert!(!bad("[outside]", "[outside").contains('\n'));
+    let next = |n: &str| format!("[deployment.state.next]\n{n}\n[deployment.cloud]");
+    assert!(bad("[deployment.cloud]", &next("value_kb = 0.5")).contains("next.value_kb"));
+    assert!(bad("[deployment.cloud]", &next("txn_ops = 3")).contains("next.txn_ops"));
+    let s = SETTINGS.replace("[deployment.cloud]", &next("value_kb = 2.0"));
+    let s = Settings::parse("s.toml", &s).expect("any may be missing");
+    let next = s.next.expect("announced");
+    assert_eq!((next.value_bytes, next.txn_ops), (2048, s.limits.txn_ops));
 }
 
 #[test]
--- a/tests/pipelines.rs
+++ b/tests/pipelines.rs
@@ -2,7 +2,10 @@
 //! cancellations, restarts and late transactions. The store checks every write against its limits; the
 //! version in production is met through the types that it reads and writes with.
 
-use coppergw::jobs::commit::{Intent, Limits, accepted, stage, sweep, withdraw};
+use coppergw::fairness::rounds::fitting;
+use coppergw::hosts::lead::shrink_charter;
+use coppergw::hosts::model::{Charter, Host, HostState};
+use coppergw::jobs::commit::{Intent, Limits, acceptance, stage, sweep, withdraw};
 use coppergw::jobs::model::{
     Block, Final, Ids, JobId, Needs, Placement, Record, Room, Slot, Spec, Stored,
 };
@@ -366,18 +369,21 @@
             s.needs.jobs = Ids(list);
         }
         s.submitted = self.wall;
-        let t = Txn {
-            guards: vec![],
-            then: vec![Change::Put {
-                put: keys::job(&id),
-                v: to_value(&accepted(s, self.limits(n))),
-                permit: None,
-            }],
-        };
-        self.store.check(&t);
+        let limits = self.limits(n);
         self.needs.insert(id.clone(), names);
-        self.order.push(id);
-        assert!(self.run(&t));
+        self.order.push(id.clone());
+        for _ in 0..9 {
+            let steps = acceptance(&self.nodes[n].view, &id, s.clone(), limits);
+            for t in steps.expect("fits into values") {
+                self.store.check(&t);
+                assert!(self.run(&t));
+                if t.then.iter().any(|c| c.key() == keys::job(&id)) {
+                    return;
+                }
+            }
+            self.sync(n);
+        }
+        panic!("never accepted");
     }
 
     /// The state as a user is told it.
@@ -680,6 +686,115 @@
     assert_eq!(w.nodes[0].view.jobs["req-000000"].placed, 32);
 }
 
+/// A list of needed jobs that fits into no value is split, written before the record, and read again;
+/// the job waits for every one of them.
+#[test]
+fn long_lists_of_needed_jobs_are_split() {
+    let mut w = World::new();
+    for n in [0, 1, 2, 0] {
+        w.restart(n, true);
+    }
+    w.store.limits = NARROW;
+    for _ in 0..700 {
+        w.submit(0, spec(Shape::Array, 1), &[]);
+        w.sync(0);
+    }
+    // An earlier try was cut off after its first key, with other jobs in it.
+    w.put(
+        keys::needs("req-000700", 0),
+        &Ids(vec!["req-000003".into()]),
+    );
+    w.sync(0);
+    let mut s = spec(Shape::Array, 1);
+    s.needs.jobs = Ids(w.order.iter().map(|id| id.as_str().into()).collect());
+    w.submit(0, s, &[]);
+    w.restart(1, true);
+    let view = &w.nodes[1].view;
+    let last = &view.jobs["req-000700"];
+    assert!(last.spec.needs.keys > 1 && last.needs.len() == 700 && !last.ready);
+    let before: Vec<String> = w.order[..700].to_vec();
+    for id in &before {
+        assert!(!w.nodes[1].view.jobs["req-000700"].ready);
+        let t = Txn {
+            guards: vec![],
+            then: vec![
+                Change::Put {
+                    put: keys::fin(id),
+                    v: to_value(&Final {
+                        cancelled: false,
+                        done: 1,
+                        at: 7,
+                    }),
+                    permit: None,
+                },
+                Change::Delete {
+                    remove: keys::job(id),
+                },
+            ],
+        };
+        assert!(w.store.apply(&t));
+        w.sync(1);
+    }
+    assert!(w.nodes[1].view.jobs["req-000700"].ready);
+}
+
+/// A charter of 50 machines is closed under 20 conditions a transaction, and every machine has a key
+/// of its own at the moment when the charter stops naming it.
+#[test]
+fn a_charter_shrinks_in_steps() {
+    let limits = coppergw::settings::StateLimits {
+        rps: 1.0,
+        write_rps: 1.0,
+        value_bytes: 2048,
+        txn_ops: 5,
+    };
+    let mut v = View::default();
+    let names: Vec<String> = (0..50).map(|i| format!("m-{i:06}")).collect();
+    let charter = Charter {
+        kind: "t".into(),
+        zone: "z".into(),
+        spot: false,
+        count: 50,
+        at: 0,
+        names: names.clone(),
+    };
+    v.put(&keys::charter("a"), &to_value(&charter), 1);
+    assert!(
+        shrink_charter(&v, limits).is_none(),
+        "no machine has a key yet"
+    );
+    for (i, n) in names.iter().enumerate() {
+        let h = Host {
+            state: HostState::Up,
+            ..charter.host()
+        };
+        v.put(&keys::host(n), &to_value(&h), 2 + i as u64);
+    }
+    for rev in 100.. {
+        let Some(t) = shrink_charter(&v, limits) else {
+            break;
+        };
+        assert!(t.guards.len() <= limits.guards());
+        match &t.then[0] {
+            Change::Put { put, v: val, .. } => v.put(put, val, rev),
+            Change::Delete { remove } => v.delete(remove, rev),
+        }
+        assert_eq!(v.hosts.len(), 50);
+    }
+    assert!(v.charters.is_empty());
+}
+
+/// Counts and raises that outgrow one value keep those that matter most.
+#[test]
+fn what_matters_most_fits() {
+    let all: BTreeMap<String, (u32, u32)> =
+        (0..500).map(|i| (format!("req-{i:06}"), (i, 2))).collect();
+    let kept = fitting(all.clone(), 2000, &|_, (n, _)| *n);
+    assert!(json_size(&kept) <= 2000 && kept.len() > 60);
+    assert!(kept.values().all(|(n, _)| *n >= 500 - kept.len() as u32));
+    assert_eq!(fitting(all.clone(), 32_000, &|_, (n, _)| *n), all);
+}
+
 /// Until every controller has said durably that it knows the newer layout, none uses it: a process
 /// that died before its turn comes back old, whoever is alive just now.
 #[test]
