--- a/src/hosts/mod.rs
+++ b/src/hosts/mod.rs
@@ -5,7 +5,7 @@
 pub mod model;
 
 use crate::jobs::model::{Room, Spec};
-use crate::placement::{Plan, only_guests};
+use crate::placement::{self, Plan, only_guests};
 use crate::policy::Policy;
 use crate::settings::{Objective, ObjectiveKind};
 use crate::store::view::View;
@@ -89,6 +89,8 @@
     spot: bool,
     /// All of the pool's work may use spot machines.
     all_spot: bool,
+    /// Ordinary machines for which gangs wait that keep off spot machines.
+    dear: f64,
     zone: Option<&'a String>,
     room: Room,
     tasks: u32,
@@ -104,6 +106,7 @@
             waits: 0.0,
             spot: true,
             all_spot: true,
+            dear: 0.0,
             zone: None,
             room: Room::default(),
             tasks: 0,
@@ -228,6 +231,8 @@
         let need = self.waits + busy as f64 * GPU_MARGIN;
         let n = idle.len().saturating_sub(need.ceil() as usize);
         idle.sort();
+        let dear = idle.iter().filter(|x| !x.0).count();
+        idle.drain(..dear.min(self.dear.ceil() as usize));
         idle.truncate(n);
         idle.into_iter().map(|x| x.1.clone()).collect()
     }
@@ -355,6 +360,36 @@
         let tasks = f64::from(queued) + f64::from(j.placed) / 2.0;
         let key: Vec<&str> = types.iter().map(|t| t.sku.as_str()).collect();
         let pool = pools.entry(key).or_insert_with(|| Pool::new(types));
+        let spot = placement::spot(j);
+        if s.spot && !spot {
+            pool.waits += f64::from(queued) / per;
+            pool.dear += f64::from(queued) / per;
+            pool.all_spot = false;
+            // The forecast places a whole gang or none of it: what is free counts.
+            let free: i64 = v
+                .hosts
+                .iter()
+                .filter(|(_, h)| !h.spot && pool.types.iter().any(|t| t.sku == h.kind))
+                .filter_map(|(id, _)| o.forecast.free.get(id))
+                // Guests leave when they are asked to: only GPUs count where they are needed.
+                .map(|f| match s.room.gpus {
+                    0 => f.times(&s.room),
+                    n => f.gpus / n,
+                })
+                .sum();
+            let short = i64::from(lacking) - free;
+            if short > 0 {
+                missing.push(Missing {
+                    types: pool.types.clone(),
+                    zone: s.zone.as_ref(),
+                    spot: false,
+                    room: s.room,
+                    tasks: short as u32,
+                    wanted: short as f64 / per,
+                });
+            }
+            continue;
+        }
         pool.load.push((
             s.rank,
             horizon(o, s, default) as f64 / 1e6,
--- a/src/jobs/front.rs
+++ b/src/jobs/front.rs
@@ -289,6 +289,7 @@
                     Outcome::Done(rev) => {
                         self.wrote(&t, rev);
                         if last {
+                            tracing::debug!(id = s.id, class = s.jobclass, needs = ?s.waits_on, "accepted");
                             return Reply::with(
                                 201,
                                 &JobAnswer {
--- a/src/node.rs
+++ b/src/node.rs
@@ -766,7 +766,12 @@
                     let lefts = of(&|i| usize::from(matches!(i, Intent::Left { .. })));
                     let stops = of(&|i| usize::from(matches!(i, Intent::Stop { .. })));
                     let jobs = s.jobs.len();
-                    tracing::debug!(keep, n, jobs, places, lefts, stops, level, "staged");
+                    let first = s.jobs.first();
+                    let class = first.and_then(|j| view.jobs.get(j)).map(|j| &*j.spec.class);
+                    let first = first.map(|j| &**j);
+                    tracing::debug!(
+                        keep, n, jobs, places, lefts, stops, level, first, class, "staged"
+                    );
                 }
                 busy.extend(s.jobs.iter().cloned());
                 out.push(s);
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -170,6 +170,17 @@
         && (spec.spot || !h.spot)
 }
 
+/// Attempts that a gang may lose before it keeps off spot machines.
+const LOST_ON_SPOT: u32 = 2;
+
+/// Whether a job's tasks may go to spot machines now. One of a gang's machines taken ends the whole
+/// attempt, and what was done since the last checkpoint with it: on many spot machines, taken more
+/// often than it saves, a large gang gets nowhere and pays for all of them again and again.
+pub fn spot(job: &Job) -> bool {
+    let lost = || job.slot(0).map_or(0, Slot::attempt);
+    job.spec.spot && (job.spec.kind != Shape::Gang || job.spec.tasks == 1 || lost() < LOST_ON_SPOT)
+}
+
 fn kind_of(s: &Spec) -> Kind<'_> {
     (
         [s.room.cpus, s.room.gpus, s.room.memory],
@@ -368,7 +379,7 @@
             if e.job.waiting != spec.tasks || i64::from(spec.tasks) > headroom {
                 continue;
             }
-            got = gang(v, spec, &mut spots, &gpus, s.forecast, &mut out);
+            got = gang(v, e.job, &mut spots, &gpus, s.forecast, &mut out);
             if got.is_empty() {
                 missing = spec.tasks;
                 if !reserved && s.wall.saturating_sub(e.job.since) > GANG_PATIENCE {
@@ -685,15 +696,17 @@
 /// save and leave, and the gang waits for them.
 fn gang(
     v: &View,
-    spec: &Spec,
+    job: &Job,
     spots: &mut [Spot<'_>],
     gpus: &Gpus,
     forecast: bool,
     out: &mut Plan,
 ) -> Vec<Target> {
+    let spec: &Spec = &job.spec;
+    let may = spot(job);
     let mut order: Vec<((i64, i64), usize, Room)> = Vec::new();
     for (k, sp) in spots.iter_mut().enumerate() {
-        if !allowed(spec, sp.host) {
+        if !allowed(spec, sp.host) || (sp.host.spot && !may) {
             continue;
         }
         let now = offer(spec, sp, gpus);
--- a/tests/grown.rs
+++ b/tests/grown.rs
@@ -436,3 +436,19 @@
     assert_eq!(t.then.len(), 2, "the machine's key, then what named it");
     assert!(w.view.deleted(&keys::host(&names[1])) && w.view.leaving.is_empty());
 }
+
+/// A gang that lost two attempts keeps off spot machines: each of them that is taken ends the attempt.
+#[test]
+fn a_gang_that_lost_attempts_keeps_off_spot_machines() {
+    for (lost, spot) in [(1, true), (2, false)] {
+        let mut w = World::new(&[(true, true), (true, true), (true, false), (true, false)]);
+        let slots = Block(vec![Slot::Waiting(lost); 2]);
+        let s = spec(Shape::Gang, Rank::Normal, 2, 8, 1);
+        w.put(keys::job("req-1"), to_value(&Record(s, slots)));
+        let intents = w.plan(&HashMap::new());
+        let Some(Intent::Place { tasks, .. }) = intents.first() else {
+            panic!("not placed: {intents:?}");
+        };
+        assert!(tasks.iter().all(|(_, h, _)| w.view.hosts[h].spot == spot));
+    }
+}
