Writes go by the plan's order and by how long an end is known, not by job id

Steps are planned each 0.4 s also when arrays wait for writes. Ruled out: rank (inherited within 0.4 s), room (100 tasks a second end).

--- a/src/hosts/lead.rs
+++ b/src/hosts/lead.rs
@@ -125,6 +125,7 @@
                 mine: &yes,
                 gangs: true,
                 arrays: true,
+                steps: true,
                 forecast: true,
             });
             mem.idle_since.retain(|id, _| {
--- a/src/node.rs
+++ b/src/node.rs
@@ -110,6 +110,7 @@
     pub call_every: Cell<Micros>,
     sweep_every: Cell<Micros>,
     arrays_at: Cell<Micros>,
+    steps_at: Cell<Micros>,
     hosts_at: Cell<Micros>,
     adopted: RefCell<(u64, Vec<Option<u64>>)>,
     barriers: async_channel::Sender<async_channel::Sender<bool>>,
@@ -137,6 +138,8 @@
 /// Exits of array tasks of which nobody waits to hear are written this much later, together.
 const LAZY: Micros = 2 * SECOND;
 const LAZY_MAX: Micros = 8 * SECOND;
+/// Ends of jobs that are written together at most.
+const ENDS: usize = 4;
 /// Exits that were asked for come in numbers: so much later one write takes them together.
 const ASKED: Micros = 3 * SECOND / 10;
 /// What must run again, or may end a job, is written after this.
@@ -247,6 +250,7 @@
             call_every: Cell::new(SECOND),
             sweep_every: Cell::new(0),
             arrays_at: Cell::new(0),
+            steps_at: Cell::new(0),
             hosts_at: Cell::new(0),
             adopted: RefCell::default(),
             barriers,
@@ -697,26 +701,26 @@
         }
         let mut since = self.left_since.borrow_mut();
         since.retain(|j, _| by_job.contains_key(j));
-        let mut first: Vec<Intent> = Vec::new();
+        // Ends of jobs and exits that were asked for, the longest known first: what is left out for want
+        // of writes must not be the same jobs each time.
+        let mut ends: Vec<(Micros, &JobId)> = Vec::new();
         let mut books: Vec<(Micros, &JobId)> = Vec::new();
         for (id, list) in &by_job {
             let Some(j) = view.jobs.get(id) else { continue };
             let at = *since.entry(id.clone()).or_insert(now);
-            match patience(j, list) {
-                wait @ 0..=ASKED if now.saturating_sub(at) >= wait => {
-                    first.extend(list.iter().cloned());
-                }
-                wait if now.saturating_sub(at) >= wait => books.push((at, id)),
-                _ => {}
+            let wait = patience(j, list);
+            if now.saturating_sub(at) >= wait {
+                if wait <= ASKED { &mut ends } else { &mut books }.push((at, id));
             }
         }
         drop(since);
         // What is over, and what was withdrawn before it was placed.
         for (id, j) in &view.jobs {
             if (j.cancelled() && j.placed == 0) || j.done == j.spec.tasks {
-                first.push(Intent::Settle { job: id.clone() });
+                ends.push((0, id));
             }
         }
+        ends.sort();
         let (mut level, burst) = self.store.write_level();
         let waited = now.saturating_sub(self.arrays_at.get());
         let late = waited >= ARRAY_LATEST;
@@ -730,18 +734,32 @@
         if arrays {
             self.arrays_at.set(now);
         }
+        let steps = now.saturating_sub(self.steps_at.get()) >= ARRAY_ROUND;
+        if steps {
+            self.steps_at.set(now);
+        }
         let mut later: Vec<Intent> = Vec::new();
-        for i in self.plan(view, terms, &freed, arrays, now) {
-            // A write of a block takes along what else is to be said of its job.
-            if let Some(l) = by_job.get(i.job()) {
-                first.extend(l.iter().cloned());
-            }
+        // In the plan's order, each job's intents together.
+        let mut first: Vec<(JobId, Vec<Intent>)> = Vec::new();
+        let mut places: HashMap<JobId, usize> = HashMap::new();
+        for i in self.plan(view, terms, &freed, (arrays, steps), now) {
             // A step of a pipeline that has its deadline before it goes with services and gangs.
             let array = matches!(&i, Intent::Place { job, .. }
             if view.jobs.get(job).is_some_and(|j| {
-                j.spec.kind == Shape::Array && !(j.piped && j.due.is_some())
+                j.spec.kind == Shape::Array && !j.step()
             }));
-            if array { &mut later } else { &mut first }.push(i);
+            if array {
+                later.push(i);
+                continue;
+            }
+            let id = i.job().clone();
+            let k = *places.entry(id.clone()).or_insert_with(|| {
+                // A write of a block takes along what else is to be said of its job.
+                let known = by_job.get(&id).cloned().unwrap_or_default();
+                first.push((id, known));
+                first.len() - 1
+            });
+            first[k].1.push(i);
         }
         let capped = |t: &str| self.settings.team(t).is_some_and(|t| t.capped());
         let mut busy = self.busy.borrow().clone();
@@ -777,7 +795,19 @@
                 out.push(s);
             }
         };
-        add(&first, 0.0);
+        for (_, list) in &first {
+            add(list, 0.0);
+        }
+        for chunk in ends.chunks(ENDS) {
+            let list: Vec<Intent> = chunk
+                .iter()
+                .flat_map(|(_, id)| {
+                    let known = by_job.get(*id).into_iter().flatten().cloned();
+                    known.chain([Intent::Settle { job: (*id).clone() }])
+                })
+                .collect();
+            add(&list, 0.0);
+        }
         for i in later {
             let mut list = by_job.get(i.job()).cloned().unwrap_or_default();
             list.push(i);
@@ -801,7 +831,7 @@
         view: &View,
         terms: &[Option<u64>],
         freed: &HashMap<Rc<str>, Room>,
-        arrays: bool,
+        (arrays, steps): (bool, bool),
         now: Micros,
     ) -> Vec<Intent> {
         if terms.iter().all(Option::is_none) {
@@ -865,7 +895,7 @@
             });
             let wait = match (alive, job.spec.kind) {
                 (false, _) => TAKE_ORPHAN,
-                _ if job.piped && job.due.is_some() => TAKE_PIPED,
+                _ if job.step() => TAKE_PIPED,
                 (true, Shape::Service) => TAKE_SERVICE,
                 _ => TAKE_ARRAY,
             };
@@ -883,6 +913,7 @@
             mine: &mine,
             gangs,
             arrays,
+            steps,
             forecast: false,
         })
         .intents
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -52,6 +52,8 @@
     pub gangs: bool,
     /// Whether arrays are placed this time: they can wait until a write is worth its while.
     pub arrays: bool,
+    /// The same for steps of pipelines with a deadline.
+    pub steps: bool,
     /// Also place on machines that are still booting: to see what will be missing then.
     pub forecast: bool,
 }
@@ -310,7 +312,7 @@
         };
         if queued == 0
             || (kind == Shape::Gang && !s.gangs)
-            || (kind == Shape::Array && !s.arrays)
+            || (kind == Shape::Array && !if job.step() { s.steps } else { s.arrays })
             || (!s.forecast && (s.held_back)(id))
         {
             continue;
--- a/src/store/view.rs
+++ b/src/store/view.rs
@@ -60,6 +60,10 @@
     pub fn cancelled(&self) -> bool {
         self.spec.cancelled || self.doomed
     }
+    /// Whether it is a step of a pipeline with a deadline.
+    pub fn step(&self) -> bool {
+        self.piped && self.due.is_some()
+    }
     /// Tasks that may start now.
     pub fn queued(&self) -> u32 {
         if self.ready && !self.cancelled() {
--- a/tests/grown.rs
+++ b/tests/grown.rs
@@ -152,6 +152,7 @@
             mine,
             gangs: true,
             arrays: true,
+            steps: true,
             forecast: false,
         })
         .intents
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -130,6 +130,7 @@
         mine: &|_| true,
         gangs: true,
         arrays: true,
+        steps: true,
         forecast: false,
     })
     .intents
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -349,6 +349,7 @@
             mine: &mine,
             gangs: terms[0].is_some(),
             arrays: true,
+            steps: true,
             forecast: false,
         });
         intents.extend(p.intents);
