Machines that come up late when others did are not waited for; more closings at a time

Marks of closing came three at a time behind deletions of keys of machines that are gone, for which nobody waits. Ruled out: capacity (no refusals then).

--- a/src/hosts/lead.rs
+++ b/src/hosts/lead.rs
@@ -1,7 +1,7 @@
 //! The leader's loop: machine types, list, rentals, returns.
 
 use super::model::{Charter, Host, HostState, Leaving, put_host};
-use super::{Outlook, decide};
+use super::{Outlook, decide, not_expected};
 use crate::node::Node;
 use crate::placement::{self, Open, Scene};
 use crate::settings::StateLimits;
@@ -30,8 +30,11 @@
 const PER_RETURN: usize = 100;
 /// Share of the burst of writes that stays for others when machines are closed and returned.
 const KEEP: f64 = 0.3;
+/// The same for the keys of machines that are gone.
+const FORGET: f64 = 0.6;
 /// So many machines are closed or returned at each look even when writes are short.
 const MARKS: usize = 3;
+const MARKS_PACKED: usize = 5;
 /// Machines in one charter: the conditions of one transaction must hold all their keys.
 const PER_CHARTER: usize = 50;
 /// Bytes of a charter beside the names, and of a name: the cloud's are shorter by far.
@@ -107,8 +110,14 @@
             let yes = |_: &str| true;
             let no = |_: &str| false;
             let freed = HashMap::new();
-            let open = |_: &Rc<str>, h: &Host| {
-                matches!(h.state, HostState::Up | HostState::Booting).then_some(Open {
+            let late = not_expected(&view, wall);
+            let open = |id: &Rc<str>, h: &Host| {
+                let counts = match h.state {
+                    HostState::Up => true,
+                    HostState::Booting => !late.contains(id),
+                    _ => false,
+                };
+                counts.then_some(Open {
                     session: h.session,
                     mine: true,
                 })
@@ -354,7 +363,14 @@
                 // Room that work waits for.
                 HostState::Up => chunk.len(),
                 // Each is money saved until the day ends: never starved for good.
-                _ => self.to_spare().max(MARKS).min(chunk.len()),
+                _ => {
+                    let least = if self.limits().packed {
+                        MARKS_PACKED
+                    } else {
+                        MARKS
+                    };
+                    self.to_spare().max(least).min(chunk.len())
+                }
             };
             let chunk = &chunk[..n];
             // An empty machine must still be empty: a placement does not change its key, so read
@@ -525,7 +541,9 @@
     /// Deletes the keys of machines that are gone, with writes that nobody else needs.
     async fn close_leaving(&self) {
         loop {
-            let n = self.to_spare().min(self.state_limits().txn_ops);
+            // Nobody waits for these: closing machines saves money.
+            let (level, burst) = self.store.write_level();
+            let n = ((level - burst * FORGET) as usize).min(self.state_limits().txn_ops);
             if n == 0 {
                 return;
             }
--- a/src/hosts/mod.rs
+++ b/src/hosts/mod.rs
@@ -13,7 +13,7 @@
 use crate::wire::cloud::MachineType;
 use crate::wire::user::{Rank, Shape};
 use model::{Charter, Host, HostState};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::rc::Rc;
 
 /// What the leader decides on.
@@ -295,18 +295,56 @@
     types
 }
 
+/// A machine that boots for longer than so many tenths of its usual time is late; it is given up after
+/// `LATE_GONE`, if others of its type that were rented no earlier are up.
+const LATE: u64 = 17;
+const LATE_GONE: u64 = 25;
+
+/// Machines that will hardly come up: they are late, and others of their type, rented at the same time or
+/// later, are up. A gang would wait for one of them until it is given up, on all the others. If all are
+/// late, that is how it is today, and nothing is rented twice.
+pub fn late(v: &View, wall: Micros, tenths: u64) -> HashSet<Rc<str>> {
+    let mut newest: HashMap<&str, Micros> = HashMap::new();
+    for h in v.hosts.values().filter(|h| h.state == HostState::Up) {
+        let at = newest.entry(&h.kind).or_default();
+        *at = h.rented.max(*at);
+    }
+    let is_late = |h: &Host| {
+        let Some(t) = v.types.get(&h.kind) else {
+            return false;
+        };
+        h.state == HostState::Booting
+            && wall.saturating_sub(h.rented) > from_secs(t.ready_s) * tenths / 10
+            && newest
+                .get(h.kind.as_str())
+                .is_some_and(|at| *at >= h.rented)
+    };
+    v.hosts
+        .iter()
+        .filter(|(_, h)| is_late(h))
+        .map(|(id, _)| id.clone())
+        .collect()
+}
+
+/// Those of which the forecast does not expect anything.
+pub fn not_expected(v: &View, wall: Micros) -> HashSet<Rc<str>> {
+    late(v, wall, LATE)
+}
+
 /// Decides.
 pub fn decide(o: &Outlook<'_>) -> Decision {
     let mut out = Decision::default();
     let v = o.view;
     // Given up: never came up.
+    let gone = late(v, o.wall, LATE_GONE);
     for (id, h) in &v.hosts {
         let ready = v
             .types
             .get(&h.kind)
             .map_or(60 * SECOND, |t| from_secs(t.ready_s));
         if h.state == HostState::Booting
-            && o.wall.saturating_sub(h.rented) > ready * BOOT_TIMES + BOOT_GRACE
+            && (gone.contains(id)
+                || o.wall.saturating_sub(h.rented) > ready * BOOT_TIMES + BOOT_GRACE)
         {
             out.give_back.push(id.clone());
         }
--- a/tests/grown.rs
+++ b/tests/grown.rs
@@ -3,6 +3,7 @@
 
 use coppergw::hosts::lead::forget_gone;
 use coppergw::hosts::model::{Charter, Host, HostState, Leaving};
+use coppergw::hosts::not_expected;
 use coppergw::jobs::commit::{Intent, Limits, stage};
 use coppergw::jobs::model::{Block, JobId, Record, Room, Slot, Spec};
 use coppergw::members::{PARTS, Part};
@@ -453,3 +454,33 @@
         assert!(tasks.iter().all(|(_, h, _)| w.view.hosts[h].spot == spot));
     }
 }
+
+/// One machine that does not come up is late once others that were rented with it are up; if all boot
+/// slowly, none is.
+#[test]
+fn one_machine_is_late_and_all_are_not() {
+    let mut w = World::new(&[(true, false), (true, false)]);
+    let names: Vec<Rc<str>> = w.view.hosts.keys().cloned().collect();
+    let ready = (w.view.types["gpu"].ready_s * 1e6) as u64;
+    let boots = Host {
+        state: HostState::Booting,
+        rented: SECOND,
+        ..w.view.hosts[&names[0]].clone()
+    };
+    let up = Host {
+        state: HostState::Up,
+        ..boots.clone()
+    };
+    for n in &names {
+        w.put(keys::host(n), to_value(&boots));
+    }
+    let at = SECOND + ready * 2;
+    assert!(not_expected(&w.view, at).is_empty(), "all are late");
+    w.put(keys::host(&names[0]), to_value(&up));
+    assert!(
+        not_expected(&w.view, SECOND + ready).is_empty(),
+        "not late yet"
+    );
+    let late = not_expected(&w.view, at);
+    assert!(late.len() == 1 && late.contains(&names[1]));
+}
