--- a/src/node.rs
+++ b/src/node.rs
@@ -144,8 +144,10 @@
 const ASKED: Micros = 3 * SECOND / 10;
 /// What must run again, or may end a job, is written after this.
 const SOON: Micros = 2 * SECOND / 5;
-/// Shares of the burst of writes that stay for what comes before: placements of arrays leave room
-/// for services and acceptances, bookkeeping also for arrays.
+/// Shares of the burst of writes that stay for what comes before: ends of jobs leave room for
+/// acceptances, so that no user is told to come back, placements of arrays also for services,
+/// bookkeeping also for arrays.
+const KEEP_ENDS: f64 = 0.15;
 const KEEP_ARRAYS: f64 = 0.25;
 const KEEP_BOOKS: f64 = 0.5;
 /// Others' waiting tasks are taken only after this: their owner comes first.
@@ -806,7 +808,7 @@
                     known.chain([Intent::Settle { job: (*id).clone() }])
                 })
                 .collect();
-            add(&list, 0.0);
+            add(&list, KEEP_ENDS);
         }
         for i in later {
             let mut list = by_job.get(i.job()).cloned().unwrap_or_default();
