--- a/src/node.rs
+++ b/src/node.rs
@@ -736,7 +736,8 @@
         if arrays {
             self.arrays_at.set(now);
         }
-        let steps = now.saturating_sub(self.steps_at.get()) >= ARRAY_ROUND;
+        // Never arrays without steps: these come first, and would find their room taken.
+        let steps = arrays || now.saturating_sub(self.steps_at.get()) >= ARRAY_ROUND;
         if steps {
             self.steps_at.set(now);
         }
