Submissions that name jobs are not passed on before the newer layout; late machines have 20 s more

A controller that cannot answer passes a request on to a peer; while versions are mixed that peer may be an old one, which would start the job at once. Machines' keys say that they are up to 20 s later where writes are short: late counts from there.

--- a/src/hosts/mod.rs
+++ b/src/hosts/mod.rs
@@ -299,6 +299,8 @@
 /// `LATE_GONE`, if others of its type that were rented no earlier are up.
 const LATE: u64 = 17;
 const LATE_GONE: u64 = 25;
+/// That a machine is up is written so much later where writes are short.
+pub const UP_MAX: Micros = 20 * SECOND;
 
 /// Machines that will hardly come up: they are late, and others of their type, rented at the same time or
 /// later, are up. A gang would wait for one of them until it is given up, on all the others. If all are
@@ -314,7 +316,7 @@
             return false;
         };
         h.state == HostState::Booting
-            && wall.saturating_sub(h.rented) > from_secs(t.ready_s) * tenths / 10
+            && wall.saturating_sub(h.rented) > from_secs(t.ready_s) * tenths / 10 + UP_MAX
             && newest
                 .get(h.kind.as_str())
                 .is_some_and(|at| *at >= h.rented)
--- a/src/jobs/front.rs
+++ b/src/jobs/front.rs
@@ -43,6 +43,11 @@
     Reply::later(503, COME_BACK)
 }
 
+/// Whether a body is a submission that waits for jobs.
+pub fn names_jobs(body: &[u8]) -> bool {
+    decode::<Submission>(body).is_ok_and(|s| s.waits_on.is_some_and(|l| !l.is_empty()))
+}
+
 impl Node {
     /// Answers a user.
     pub async fn on_user(&self, a: Ask) -> Reply {
@@ -70,6 +75,10 @@
         let (503, Some(f)) = (reply.status, forward) else {
             return reply;
         };
+        // A peer of the version before would accept it and start it at once.
+        if self.view.borrow().layout.is_none() && names_jobs(&f.body) {
+            return reply;
+        }
         let now = self.clock.now();
         let to = {
             let peers = self.peers.borrow();
--- a/src/workers/drive.rs
+++ b/src/workers/drive.rs
@@ -1,6 +1,7 @@
 //! Driving workers: reports in, orders out, and what is wanted of machines.
 
 use super::{Machine, News, orders, sick};
+use crate::hosts::UP_MAX;
 use crate::hosts::model::{Host, HostState, put_host};
 use crate::jobs::model::JobId;
 use crate::members::part_of;
@@ -33,8 +34,6 @@
 const CALLS: f64 = 400.0;
 const CALL_LIMIT: Micros = 2 * SECOND / 5;
 
-/// That a machine is up is written at the latest after this.
-const UP_MAX: Micros = 20 * SECOND;
 /// The same direct order is not repeated sooner.
 const REPEAT: Micros = SECOND;
 /// A task that has run for so long shows that its job can run.
--- a/tests/formats.rs
+++ b/tests/formats.rs
@@ -1,5 +1,6 @@
 //! Formats: what is written can be read again, and arbitrary bytes never do harm.
 
+use coppergw::jobs::front::names_jobs;
 use coppergw::jobs::model::{Block, Placement, Refusal, Slot, admit};
 use coppergw::policy::Policy;
 use coppergw::settings::Settings;
@@ -92,6 +93,20 @@
     }
 }
 
+/// A submission that names jobs is not passed on to a peer that may be of the version before; null and
+/// empty mean none.
+#[test]
+fn submissions_that_name_jobs_are_seen() {
+    let with = |l: Option<Vec<String>>| {
+        names_jobs(&encode(&Submission {
+            waits_on: l,
+            ..submission()
+        }))
+    };
+    assert!(with(Some(vec!["req-1".into()])));
+    assert!(!with(Some(Vec::new())) && !with(None) && !names_jobs(b"x"));
+}
+
 /// 422 as the protocol defines it for each shape; 400 for what is malformed.
 #[test]
 fn submissions_are_told_apart() {
