--- a/src/node.rs
+++ b/src/node.rs
@@ -144,10 +144,9 @@
 const ASKED: Micros = 3 * SECOND / 10;
 /// What must run again, or may end a job, is written after this.
 const SOON: Micros = 2 * SECOND / 5;
-/// Shares of the burst of writes that stay for what comes before: ends of jobs leave room for
-/// acceptances, so that no user is told to come back, placements of arrays also for services,
-/// bookkeeping also for arrays.
-const KEEP_ENDS: f64 = 0.15;
+/// Shares of the burst of writes that stay for what comes before: placements of arrays leave room
+/// for services and acceptances, bookkeeping also for arrays. Ends of jobs leave none: with 15 % kept
+/// back they starved while changes were short, and the next steps of pipelines with them.
 const KEEP_ARRAYS: f64 = 0.25;
 const KEEP_BOOKS: f64 = 0.5;
 /// Others' waiting tasks are taken only after this: their owner comes first.
@@ -703,7 +702,8 @@
         }
         let mut since = self.left_since.borrow_mut();
         since.retain(|j, _| by_job.contains_key(j));
-        // Ends of jobs and exits that were asked for, the longest known first: what is left out for want
+        // Ends of jobs and exits that were asked for, those that others wait for and the longest known
+        // first: what is left out for want
         // of writes must not be the same jobs each time.
         let mut ends: Vec<(Micros, &JobId)> = Vec::new();
         let mut books: Vec<(Micros, &JobId)> = Vec::new();
@@ -722,7 +722,7 @@
                 ends.push((0, id));
             }
         }
-        ends.sort();
+        ends.sort_by_key(|(at, id)| (!view.waited_for(id), *at, *id));
         let (mut level, burst) = self.store.write_level();
         let waited = now.saturating_sub(self.arrays_at.get());
         let late = waited >= ARRAY_LATEST;
@@ -809,7 +809,7 @@
                     known.chain([Intent::Settle { job: (*id).clone() }])
                 })
                 .collect();
-            add(&list, KEEP_ENDS);
+            add(&list, 0.0);
         }
         for i in later {
             let mut list = by_job.get(i.job()).cloned().unwrap_or_default();
