--- a/crates/base/src/wire/client.rs
+++ b/crates/base/src/wire/client.rs
@@ -5,10 +5,10 @@
 use async_h1::client::{Encoder, decode};
 use async_io::Timer;
 use async_net::TcpStream;
+use foldhash::HashMap;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
 use http_types::{Method, Request, Url};
 use std::cell::{Cell, RefCell};
-use foldhash::HashMap;
 use std::net::SocketAddr;
 
 /// An answer: status and body.
--- a/src/fairness/rounds.rs
+++ b/src/fairness/rounds.rs
@@ -54,12 +54,12 @@
         let mut last = Counts::default();
         loop {
             self.sleep(self.policy.fairness_round).await;
-            if !self.loaded.get() || !self.state_ok() {
+            if !self.feed.loaded() || !self.feed.current() {
                 continue;
             }
             let mut c = self.counts();
             {
-                let view = self.view.borrow();
+                let view = self.feed.view();
                 let queued = |id: &str| view.jobs.get(id).map_or(0, |j| j.queued());
                 c.jobs = fitting(c.jobs, self.value_limit(), &|id, _| queued(id));
             }
@@ -75,8 +75,7 @@
                     permit: None,
                 }],
             };
-            if let Outcome::Done(rev) = self.store.txn(&t).await {
-                self.wrote(&t, rev);
+            if let Outcome::Done(_) = self.feed.txn(&t).await {
                 last = c;
             }
         }
@@ -84,10 +83,10 @@
 
     fn counts(&self) -> Counts {
         let now = self.clock.now();
-        let view = self.view.borrow();
-        let machines = self.machines.borrow();
+        let view = self.feed.view();
+        let machines = self.fleet.machines();
         let longest = longest(machines.values(), &view, now);
-        let durations = self.durations.borrow();
+        let durations = self.fleet.durations();
         let mut out = Counts::default();
         for (id, j) in &view.jobs {
             // Only where something waits does a raise change anything.
@@ -119,7 +118,7 @@
     /// The leader's round.
     pub async fn fairness_round(&self) {
         let next = {
-            let view = self.view.borrow();
+            let view = self.feed.view();
             let list: Vec<Activity> = view
                 .jobs
                 .iter()
@@ -153,8 +152,6 @@
                 permit: None,
             }],
         };
-        if let Outcome::Done(rev) = self.store.txn(&t).await {
-            self.wrote(&t, rev);
-        }
+        self.feed.txn(&t).await;
     }
 }
--- a/src/hosts/lead.rs
+++ b/src/hosts/lead.rs
@@ -1,8 +1,8 @@
 //! The leader's loop: machine types, list, rentals, returns.
 
+use super::model::{Charter, Host, HostState, Leaving};
+use super::{Outlook, decide, not_expected, put_host};
 use crate::ids::HostId;
-use super::model::{Charter, Host, HostState, Leaving, put_host};
-use super::{Outlook, decide, not_expected};
 use crate::node::Node;
 use crate::placement::{self, Open, Scene};
 use crate::settings::StateLimits;
@@ -13,9 +13,9 @@
 use crate::wire::cloud::{HOSTS, HostStatus, Names, Page, RETURN, Rental, TYPES, Types};
 use crate::wire::state::{Change, Guard, Txn};
 use crate::wire::{encode, json_size, to_value};
+use foldhash::{HashMap, HashMapExt, HashSet};
 use http_types::Method;
 use std::cell::RefCell;
-use foldhash::{HashMap, HashMapExt, HashSet};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
@@ -45,6 +45,24 @@
 /// A refused combination is not asked for again so soon.
 const REFUSED: Micros = 8 * SECOND;
 
+/// Rental combinations that the cloud refused: type, zone, kind; until when they are not tried.
+#[derive(Default)]
+pub struct Rentals(RefCell<HashMap<(String, String, bool), Micros>>);
+
+impl Rentals {
+    fn refused(&self, kind: &str, zone: &str, spot: bool, now: Micros) -> bool {
+        self.0
+            .borrow()
+            .get(&(kind.to_string(), zone.to_string(), spot))
+            .is_some_and(|t| *t > now)
+    }
+    fn refuse(&self, c: &Charter, now: Micros) {
+        self.0
+            .borrow_mut()
+            .insert((c.kind.clone(), c.zone.clone(), c.spot), now + REFUSED);
+    }
+}
+
 /// What the leader remembers while it leads.
 #[derive(Default)]
 struct Memory {
@@ -69,7 +87,7 @@
         let mut mem = Memory::default();
         loop {
             self.sleep(LOOK).await;
-            if !self.loaded.get() || !self.state_ok() {
+            if !self.feed.loaded() || !self.feed.current() {
                 continue;
             }
             if !self.leads().await {
@@ -82,7 +100,7 @@
 
     async fn lead(self: &Rc<Node>, mem: &mut Memory) {
         let now = self.clock.now();
-        if now.saturating_sub(mem.types_at) > TYPES_EVERY || self.view.borrow().types.is_empty() {
+        if now.saturating_sub(mem.types_at) > TYPES_EVERY || self.feed.view().types.is_empty() {
             mem.types_at = now;
             self.read_types().await;
         }
@@ -107,7 +125,7 @@
         }
         mem.decide_at = begun;
         let decision = {
-            let view = self.view.borrow();
+            let view = self.feed.view();
             let wall = wall();
             let yes = |_: &str| true;
             let no = |_: &str| false;
@@ -149,12 +167,7 @@
                     mem.idle_since.entry(id.clone()).or_insert(wall);
                 }
             }
-            let refused = self.refused.borrow();
-            let is_refused = |k: &str, z: &str, s: bool| {
-                refused
-                    .get(&(k.to_string(), z.to_string(), s))
-                    .is_some_and(|t| *t > now)
-            };
+            let is_refused = |k: &str, z: &str, s: bool| self.rentals.refused(k, z, s, now);
             decide(&Outlook {
                 view: &view,
                 forecast: &forecast,
@@ -194,7 +207,7 @@
             tracing::info!("machine types: no answer");
             return;
         };
-        let known: Vec<_> = self.view.borrow().types.values().cloned().collect();
+        let known: Vec<_> = self.feed.view().types.values().cloned().collect();
         let mut new = t.rigs;
         new.sort_by(|a, b| a.sku.cmp(&b.sku));
         if encode(&known) == encode(&new) || new.is_empty() {
@@ -223,9 +236,7 @@
                 guards: Vec::new(),
                 then: chunk.to_vec(),
             };
-            if let Outcome::Done(rev) = self.store.txn(&t).await {
-                self.wrote(&t, rev);
-            }
+            self.feed.txn(&t).await;
         }
     }
 
@@ -264,7 +275,7 @@
         let mut puts: Vec<(String, Host)> = Vec::new();
         let mut found: BTreeMap<(String, String, bool), Vec<(String, Micros)>> = BTreeMap::new();
         {
-            let view = self.view.borrow();
+            let view = self.feed.view();
             let mut put = |id: &str, h: &Host| puts.push((id.to_string(), h.clone()));
             for (id, l) in &all {
                 if mem.returned.contains_key(id) {
@@ -340,22 +351,20 @@
         for chunk in puts.chunks(self.state_limits().txn_ops) {
             let mut t = Txn::default();
             {
-                let view = self.view.borrow();
+                let view = self.feed.view();
                 for (id, h) in chunk {
                     put_host(&mut t, &view, id, h);
                 }
             }
-            if !t.then.is_empty()
-                && let Outcome::Done(rev) = self.store.txn(&t).await
-            {
-                self.wrote(&t, rev);
+            if !t.then.is_empty() {
+                self.feed.txn(&t).await;
             }
         }
     }
 
     /// How many changes may go into bookkeeping now: users and placements come first.
     fn to_spare(&self) -> usize {
-        let (level, burst) = self.store.write_level();
+        let (level, burst) = self.feed.client().write_level();
         (level - burst * KEEP).max(0.0) as usize
     }
 
@@ -378,12 +387,12 @@
             // An empty machine must still be empty: a placement does not change its key, so read
             // once more what was written since the decision.
             let returning = state == HostState::Returning;
-            if returning && !self.barrier().await {
+            if returning && !self.feed.barrier().await {
                 return;
             }
             let mut t = Txn::default();
             {
-                let view = self.view.borrow();
+                let view = self.feed.view();
                 for id in chunk {
                     let Some(h) = view.hosts.get(id) else {
                         continue;
@@ -398,9 +407,8 @@
             if t.then.is_empty() {
                 continue;
             }
-            if let Outcome::Done(rev) = self.store.txn(&t).await {
+            if let Outcome::Done(_) = self.feed.txn(&t).await {
                 tracing::info!(machines = t.then.len(), ?state, "marked");
-                self.wrote(&t, rev);
             }
         }
     }
@@ -410,11 +418,11 @@
     async fn leave(&self, mem: &mut Memory, ids: &[HostId]) {
         for chunk in ids.chunks(self.per_charter()) {
             // See `mark`: they must still be empty.
-            if !self.barrier().await {
+            if !self.feed.barrier().await {
                 return;
             }
             let names: Vec<HostId> = {
-                let v = self.view.borrow();
+                let v = self.feed.view();
                 chunk
                     .iter()
                     .filter(|id| {
@@ -440,7 +448,7 @@
                     },
                     Guard {
                         path: keys::LEADER.into(),
-                        stamp: self.view.borrow().stamp(keys::LEADER),
+                        stamp: self.feed.view().stamp(keys::LEADER),
                     },
                 ],
                 then: vec![Change::Put {
@@ -449,9 +457,8 @@
                     permit: None,
                 }],
             };
-            if let Outcome::Done(rev) = self.store.txn(&t).await {
+            if let Outcome::Done(_) = self.feed.txn(&t).await {
                 tracing::info!(machines = count, "returning");
-                self.wrote(&t, rev);
             }
         }
     }
@@ -459,7 +466,7 @@
     /// Returns the machines of every such write to the cloud; also those of older leaders.
     fn carry_out_leaving(self: &Rc<Node>, mem: &mut Memory) {
         let list: Vec<(String, Leaving)> = {
-            let v = self.view.borrow();
+            let v = self.feed.view();
             v.leaving
                 .iter()
                 .filter(|(n, l)| !l.gone && !mem.under_way.borrow().contains(*n))
@@ -485,12 +492,12 @@
 
     async fn return_leaving(&self, name: &str, mut l: Leaving) {
         let key = keys::leaving(name);
-        if !self.barrier().await {
+        if !self.feed.barrier().await {
             return self.sleep(SECOND / 4).await;
         }
         // A placement that did not know of it yet: that machine stays.
         let busy = {
-            let v = self.view.borrow();
+            let v = self.feed.view();
             let before = l.names.len();
             l.names.retain(|id| v.tasks_on(id).is_none());
             before - l.names.len()
@@ -510,7 +517,7 @@
             l.gone = true;
         }
         let t = {
-            let v = self.view.borrow();
+            let v = self.feed.view();
             let change = if l.names.is_empty() {
                 Change::Delete {
                     remove: key.clone(),
@@ -530,11 +537,11 @@
                 then: vec![change],
             }
         };
-        match self.store.txn(&t).await {
-            Outcome::Done(rev) => self.wrote(&t, rev),
+        match self.feed.txn(&t).await {
+            Outcome::Done(_) => {}
             // Returned once more: the cloud ignores names that it does not know.
             _ => {
-                self.barrier().await;
+                self.feed.barrier().await;
                 self.sleep(SECOND / 4).await;
             }
         }
@@ -544,27 +551,27 @@
     async fn close_leaving(&self) {
         loop {
             // Nobody waits for these: closing machines saves money.
-            let (level, burst) = self.store.write_level();
+            let (level, burst) = self.feed.client().write_level();
             let n = ((level - burst * FORGET) as usize).min(self.state_limits().txn_ops);
             if n == 0 {
                 return;
             }
-            let t = forget_gone(&self.view.borrow(), n);
+            let t = forget_gone(&self.feed.view(), n);
             let Some(t) = t else { return };
-            match self.store.txn(&t).await {
-                Outcome::Done(rev) => self.wrote(&t, rev),
+            match self.feed.txn(&t).await {
+                Outcome::Done(_) => {}
                 _ => return,
             }
         }
     }
 
     fn charter_name(&self, n: u64) -> String {
-        format!("{}-{}-{n}", self.me(), self.lease.get().unwrap_or(0))
+        format!("{}-{}-{n}", self.me(), self.members.lease().unwrap_or(0))
     }
 
     async fn write_charter(&self, name: &str, c: &Charter) {
         let t = {
-            let view = self.view.borrow();
+            let view = self.feed.view();
             Txn {
                 guards: vec![
                     Guard {
@@ -583,7 +590,7 @@
                 }],
             }
         };
-        if let Outcome::Done(rev) = self.store.txn(&t).await {
+        if let Outcome::Done(_) = self.feed.txn(&t).await {
             tracing::info!(
                 name,
                 kind = c.kind,
@@ -591,14 +598,13 @@
                 count = c.count,
                 "renting"
             );
-            self.wrote(&t, rev);
         }
     }
 
     /// Every charter that is written is asked for until it is answered; also those of older leaders.
     fn carry_out_charters(self: &Rc<Node>, mem: &Memory) {
         let list: Vec<(String, Charter)> = {
-            let v = self.view.borrow();
+            let v = self.feed.view();
             v.charters
                 .iter()
                 .filter(|(n, c)| c.open() && !mem.under_way.borrow().contains(*n))
@@ -632,10 +638,7 @@
             .call(self.settings.cloud, Method::Post, HOSTS, Some(body), LIMIT)
             .await;
         let refuse = |n: &Node| {
-            n.refused.borrow_mut().insert(
-                (c.kind.clone(), c.zone.clone(), c.spot),
-                n.clock.now() + REFUSED,
-            );
+            n.rentals.refuse(c, n.clock.now());
         };
         let names = match &a {
             Ok(x) if x.status == 200 => match x.ok::<Names>() {
@@ -660,7 +663,7 @@
         }
         let key = keys::charter(name);
         let t = {
-            let v = self.view.borrow();
+            let v = self.feed.view();
             let change = if names.is_empty() {
                 Change::Delete {
                     remove: key.clone(),
@@ -684,11 +687,11 @@
                 then: vec![change],
             }
         };
-        match self.store.txn(&t).await {
-            Outcome::Done(rev) => self.wrote(&t, rev),
+        match self.feed.txn(&t).await {
+            Outcome::Done(_) => {}
             // Asked again with the same name: the cloud gives the same answer.
             _ => {
-                self.barrier().await;
+                self.feed.barrier().await;
                 self.sleep(SECOND / 4).await;
             }
         }
@@ -696,17 +699,15 @@
 
     /// Takes machines out of charters that have keys of their own, or are gone; an empty charter goes.
     async fn close_charters(&self) {
-        let t = shrink_charter(&self.view.borrow(), self.state_limits());
-        if let Some(t) = t
-            && let Outcome::Done(rev) = self.store.txn(&t).await
-        {
-            self.wrote(&t, rev);
+        let t = shrink_charter(&self.feed.view(), self.state_limits());
+        if let Some(t) = t {
+            self.feed.txn(&t).await;
         }
     }
 
     fn carry_out_returns(self: &Rc<Node>, mem: &mut Memory) {
         let ids: Vec<HostId> = {
-            let v = self.view.borrow();
+            let v = self.feed.view();
             let mut list: Vec<(bool, HostId)> = v
                 .hosts
                 .iter()
@@ -756,7 +757,7 @@
         // Answered 200: the machines and all that was on them are gone. Only now their keys go.
         // First those on which something was: it can start elsewhere now.
         let mut ids = ids.to_vec();
-        let with = |id: &HostId| self.view.borrow().tasks_on(id).is_some();
+        let with = |id: &HostId| self.feed.view().tasks_on(id).is_some();
         ids.sort_by_key(|id| !with(id));
         while !ids.is_empty() {
             let urgent = ids.iter().take_while(|id| with(id)).count();
@@ -777,8 +778,8 @@
                     })
                     .collect(),
             };
-            match self.store.txn(&t).await {
-                Outcome::Done(rev) => self.wrote(&t, rev),
+            match self.feed.txn(&t).await {
+                Outcome::Done(_) => {}
                 _ => return self.sleep(SECOND / 2).await,
             }
         }
--- a/src/hosts/mod.rs
+++ b/src/hosts/mod.rs
@@ -9,12 +9,15 @@
 use crate::placement::{self, Plan, only_guests};
 use crate::policy::Policy;
 use crate::settings::{Objective, ObjectiveKind};
+use crate::store::keys;
 use crate::store::view::View;
 use crate::time::{Micros, SECOND, from_secs};
 use crate::wire::cloud::MachineType;
+use crate::wire::state::{Change, Guard, Txn};
+use crate::wire::to_value;
 use crate::wire::user::{Rank, Shape};
-use model::{Charter, Host, HostState};
 use foldhash::{HashMap, HashMapExt, HashSet};
+use model::{Charter, Host, HostState};
 use std::collections::BTreeMap;
 
 /// What the leader decides on.
@@ -327,6 +330,20 @@
     late(v, wall, LATE)
 }
 
+/// Adds the write of a machine's key to a transaction, on condition that it is as the view has it.
+pub fn put_host(t: &mut Txn, view: &View, id: &str, h: &Host) {
+    let key = keys::host(id);
+    t.guards.push(Guard {
+        stamp: view.stamp(&key),
+        path: key.clone(),
+    });
+    t.then.push(Change::Put {
+        put: key,
+        v: to_value(h),
+        permit: None,
+    });
+}
+
 /// Decides.
 pub fn decide(o: &Outlook<'_>) -> Decision {
     let mut out = Decision::default();
--- a/src/hosts/model.rs
+++ b/src/hosts/model.rs
@@ -1,11 +1,7 @@
 //! Machines as the program keeps them.
 
 use crate::ids::HostId;
-use crate::store::keys;
-use crate::store::view::View;
 use crate::time::Micros;
-use crate::wire::state::{Change, Guard, Txn};
-use crate::wire::to_value;
 use serde::{Deserialize, Serialize};
 
 /// What is wanted of a machine.
@@ -60,20 +56,6 @@
     pub rented: Micros,
 }
 
-/// Adds the write of a machine's key to a transaction, on condition that it is as the view has it.
-pub fn put_host(t: &mut Txn, view: &View, id: &str, h: &Host) {
-    let key = keys::host(id);
-    t.guards.push(Guard {
-        stamp: view.stamp(&key),
-        path: key.clone(),
-    });
-    t.then.push(Change::Put {
-        put: key,
-        v: to_value(h),
-        permit: None,
-    });
-}
-
 /// Machines of one kind: a rental about to be made (the request's name is written before the
 /// request), and then the machines that came of it, or that were found in the cloud's list. It stays
 /// until each of them has a key of its own, or was returned.
--- a/src/jobs/commit.rs
+++ b/src/jobs/commit.rs
@@ -3,8 +3,8 @@
 //! Each intent is checked again against the view when it is staged, and its transaction guards the
 //! versions that it was staged on: a late or repeated transaction changes nothing.
 
-use crate::ids::HostId;
 use super::model::{AnyRecord, BLOCK, Block, Final, Ids, JobId, Placement, Slot, Spec, Stored};
+use crate::ids::HostId;
 use crate::members::part_of;
 use crate::store::keys;
 use crate::store::view::{Job, View};
--- a/src/jobs/front.rs
+++ b/src/jobs/front.rs
@@ -1,9 +1,9 @@
 //! Users' requests: submit, poll, withdraw.
 
-use crate::ids::HostId;
 use super::commit::{acceptance, withdraw};
 use super::model::{Ids, JobId, Refusal, admit};
 use super::pipelines::{Named, answer, final_answer, named};
+use crate::ids::HostId;
 use crate::node::Node;
 use crate::store::client::Outcome;
 use crate::store::keys;
@@ -76,22 +76,16 @@
             return reply;
         };
         // A peer of the version before would accept it and start it at once.
-        if self.view.borrow().layout.is_none() && names_jobs(&f.body) {
+        if self.feed.view().layout.is_none() && names_jobs(&f.body) {
             return reply;
         }
         let now = self.clock.now();
-        let to = {
-            let peers = self.peers.borrow();
-            self.settings
-                .siblings
-                .iter()
-                .find(|s| {
-                    peers
-                        .get(&s.name)
-                        .is_some_and(|p| p.state_ok && now.saturating_sub(p.heard) < 2 * SECOND)
-                })
-                .map(|s| s.addr)
-        };
+        let to = self
+            .settings
+            .siblings
+            .iter()
+            .find(|s| self.members.serves(&s.name, now))
+            .map(|s| s.addr);
         let Some(addr) = to else { return reply };
         let a = self
             .http
@@ -133,7 +127,7 @@
 
     /// The job's state in the view.
     fn seen(&self, id: &str) -> Option<JobAnswer> {
-        answer(&self.view.borrow(), id)
+        answer(&self.feed.view(), id)
     }
 
     /// The job's state as of now. `Ok(None)`: nobody submitted it. `Err`: cannot tell.
@@ -144,25 +138,25 @@
         if let Some(a) = known.as_ref().filter(|a| fin(a)) {
             return Ok(Some(a.clone()));
         }
-        if !self.loaded.get() || !self.state_ok() {
+        if !self.feed.loaded() || !self.feed.current() {
             return Err(());
         }
         if known.is_none() {
             // Final states are not loaded at the start: ask for this one.
-            match self.read_final(&JobId::from(id)).await {
+            match self.feed.read_final(&JobId::from(id)).await {
                 Ok(Some(f)) => return Ok(Some(final_answer(id, f))),
                 Ok(None) => {}
                 Err(_) => return Err(()),
             }
         }
         // Anything else needs a read begun after the question: some other node may have told more.
-        if !self.barrier().await {
+        if !self.feed.barrier().await {
             return Err(());
         }
         // What is told of a job follows from all that it needs: a user who was told that one of them
         // is cancelled must not hear anything else of this one. Not seeing one proves nothing.
         for n in self.unknown_above(id) {
-            match self.read_final(&n).await {
+            match self.feed.read_final(&n).await {
                 Ok(Some(_)) => {}
                 Ok(None) | Err(_) => return Err(()),
             }
@@ -171,16 +165,16 @@
     }
 
     fn unknown_above(&self, id: &str) -> Vec<JobId> {
-        self.view.borrow().unknown_above(id)
+        self.feed.view().unknown_above(id)
     }
 
     /// Checks the jobs that a submission names and gives those that count.
     async fn needs(&self, own: &str, names: &[String]) -> Result<Vec<JobId>, NoNeeds> {
         // A node from before would start it at once. 503 until every node knows better.
-        if self.view.borrow().layout.is_none() || !self.state_ok() {
+        if self.feed.view().layout.is_none() || !self.feed.current() {
             return Err(NoNeeds::Later);
         }
-        let unknown = match named(&self.view.borrow(), own, names) {
+        let unknown = match named(&self.feed.view(), own, names) {
             Named::Needs(list) => return Ok(list),
             Named::Impossible(why) => return Err(NoNeeds::Impossible(why)),
             Named::Unknown(list) => list,
@@ -188,23 +182,23 @@
         if unknown.len() > ASKS {
             // Those that are over are kept at hand, so that the next try needs to ask for fewer.
             for n in unknown.iter().take(ASKS) {
-                let _ = self.read_final(n).await;
+                let _ = self.feed.read_final(n).await;
             }
             return Err(NoNeeds::Later);
         }
         let mut missing = false;
         for n in &unknown {
-            match self.read_final(n).await {
+            match self.feed.read_final(n).await {
                 Ok(f) => missing |= f.is_none(),
                 Err(_) => return Err(NoNeeds::Later),
             }
         }
         // Not over: then it is among the unfinished ones, as a read begun now shows them, or nobody
         // accepted it.
-        if missing && !self.barrier().await {
+        if missing && !self.feed.barrier().await {
             return Err(NoNeeds::Later);
         }
-        match named(&self.view.borrow(), own, names) {
+        match named(&self.feed.view(), own, names) {
             Named::Needs(list) => Ok(list),
             Named::Impossible(why) => Err(NoNeeds::Impossible(why)),
             Named::Unknown(_) => Err(NoNeeds::Impossible(
@@ -242,11 +236,11 @@
                 _ => later(),
             };
         }
-        if !self.loaded.get() {
+        if !self.feed.loaded() {
             return later();
         }
         let spec = {
-            let v = self.view.borrow();
+            let v = self.feed.view();
             if v.types.is_empty() {
                 return later();
             }
@@ -263,7 +257,7 @@
                 return Reply::status(422);
             }
         };
-        if !self.state_ok() {
+        if !self.feed.current() {
             return later();
         }
         let mut spec = spec;
@@ -278,25 +272,24 @@
                 }
             }
         }
-        if self.store.write_queue() > QUEUE {
+        if self.feed.client().write_queue() > QUEUE {
             tracing::debug!(
-                queue = self.store.write_queue(),
+                queue = self.feed.client().write_queue(),
                 "submission: too many writes wait"
             );
             return Reply::later(429, COME_BACK);
         }
         // Long lists of needed jobs come in steps before the record.
         for _ in 0..TRIES {
-            let steps = acceptance(&self.view.borrow(), &s.id, spec.clone(), self.limits());
+            let steps = acceptance(&self.feed.view(), &s.id, spec.clone(), self.limits());
             let Some(steps) = steps else {
                 tracing::debug!(id = s.id, "names or lists too long for a value");
                 return Reply::status(400);
             };
             for t in steps {
                 let last = t.then.iter().any(|c| c.key() == keys::job(&s.id));
-                match self.store.txn(&t).await {
-                    Outcome::Done(rev) => {
-                        self.wrote(&t, rev);
+                match self.feed.txn(&t).await {
+                    Outcome::Done(_) => {
                         if last {
                             tracing::debug!(id = s.id, class = s.jobclass, needs = ?s.waits_on, "accepted");
                             return Reply::with(
@@ -339,10 +332,10 @@
                 Ok(None) => return Reply::status(404),
                 Err(()) => return later(),
             }
-            let t = withdraw(&self.view.borrow(), &JobId::from(id), self.limits());
+            let t = withdraw(&self.feed.view(), &JobId::from(id), self.limits());
             let Some(t) = t else { continue };
-            match self.store.txn(&t).await {
-                Outcome::Done(rev) => self.wrote(&t, rev),
+            match self.feed.txn(&t).await {
+                Outcome::Done(_) => {}
                 Outcome::Conflict(_) => {}
                 _ => return later(),
             }
@@ -352,7 +345,7 @@
 
     /// What an operator may look at, over the controllers' own address.
     pub fn inspect(&self, path: &str) -> Reply {
-        let v = self.view.borrow();
+        let v = self.feed.view();
         match path {
             "/inspect/members" => Reply::with(200, &(&v.members, &v.leader)),
             "/inspect/parts" => Reply::with(200, &v.parts),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 pub use coppergw_base::{ids, settings, time, wire};
 
 pub mod cli;
+pub mod control;
 pub mod fairness;
 pub mod hosts;
 pub mod jobs;
--- a/src/members/keep.rs
+++ b/src/members/keep.rs
@@ -1,17 +1,20 @@
 //! Keeping membership, leadership and parts; talking with peers.
 
-use super::{Leader, Member, PARTS, Part, all_know, assign};
+use super::{Leader, Member, PARTS, Part, VERSION, Version, all_know, assign};
 use crate::hosts::model::HostState;
-use crate::node::{Node, PeerState};
+use crate::ids::HostId;
+use crate::node::Node;
 use crate::store::client::Outcome;
 use crate::store::keys;
-use crate::store::view::{VERSION, Version, View};
+use crate::store::view::View;
 use crate::time::{MILLI, Micros, SECOND, wall};
 use crate::wire::peer::{Hello, PEER, pack, unpack};
 use crate::wire::server::Reply;
 use crate::wire::state::{Change, Guard, Txn};
 use crate::wire::to_value;
+use foldhash::{HashMap, HashSet};
 use http_types::Method;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
@@ -30,6 +33,67 @@
 /// How long a controller that workers could not reach wants no parts.
 const SHUNNED: Micros = 30 * SECOND;
 
+/// What a peer said last, and when.
+#[derive(Clone, Debug)]
+struct PeerState {
+    /// When it answered or spoke last.
+    heard: Micros,
+    /// Whether it reaches the state service.
+    state_ok: bool,
+    /// Calls to it that failed in a row.
+    missed: u32,
+    /// Whom it cannot reach.
+    unreachable: Vec<String>,
+}
+
+/// Our own membership, and the peers as we hear them.
+#[derive(Default)]
+pub struct Membership {
+    /// Our lease.
+    lease: Cell<Option<u64>>,
+    /// Whether our workers cannot reach us, and since when.
+    shunned: Cell<Option<Micros>>,
+    /// Parts whose term we want to raise once more.
+    raise: RefCell<HashSet<u32>>,
+    peers: RefCell<HashMap<String, PeerState>>,
+    /// Peers' machines that are up before their keys say so: session, when that was said.
+    peers_up: RefCell<HashMap<HostId, (u64, Micros)>>,
+    /// When a peer told us that machines of ours come back to it.
+    bounced: Cell<Micros>,
+}
+
+impl Membership {
+    /// Our lease, while it runs as far as we know.
+    pub fn lease(&self) -> Option<u64> {
+        self.lease.get()
+    }
+    /// Parts of ours whose term must be raised once more: an unanswered start stands in the way.
+    pub fn raise_terms(&self, parts: impl Iterator<Item = u32>) {
+        let mut raise = self.raise.borrow_mut();
+        raise.clear();
+        raise.extend(parts);
+    }
+    /// Whether a peer said a moment ago that it reaches the state service.
+    pub fn serves(&self, name: &str, now: Micros) -> bool {
+        let peers = self.peers.borrow();
+        peers
+            .get(name)
+            .is_some_and(|p| p.state_ok && now.saturating_sub(p.heard) < 2 * SECOND)
+    }
+    /// The session of a peer's machine that is up before its key says so.
+    pub fn up_at_peer(&self, id: &HostId) -> Option<u64> {
+        self.peers_up.borrow().get(id).map(|x| x.0)
+    }
+    /// Whether the state service is away for every one of so many peers.
+    pub fn common_outage(&self, siblings: usize, now: Micros) -> bool {
+        let peers = self.peers.borrow();
+        peers.len() == siblings
+            && peers
+                .values()
+                .all(|p| now.saturating_sub(p.heard) < 4 * SECOND && !p.state_ok)
+    }
+}
+
 impl Node {
     /// Holds a lease, and the member key on it.
     pub async fn lease_loop(self: Rc<Node>) {
@@ -37,30 +101,32 @@
         let mut written: Option<(u64, bool)> = None;
         let mut since = 0;
         loop {
-            match self.lease.get() {
+            match self.members.lease.get() {
                 None => {
-                    if self.loaded.get()
-                        && let Ok(id) = self.store.lease(ttl).await
+                    if self.feed.loaded()
+                        && let Ok(id) = self.feed.client().lease(ttl).await
                     {
-                        self.lease.set(Some(id));
+                        self.members.lease.set(Some(id));
                         since = wall();
                     } else {
                         self.sleep(SECOND / 4).await;
                         continue;
                     }
                 }
-                Some(id) => match self.store.renew(id).await {
+                Some(id) => match self.feed.client().renew(id).await {
                     Ok(true) => {}
                     Ok(false) => {
                         tracing::info!("lease ended");
-                        self.lease.set(None);
+                        self.members.lease.set(None);
                         continue;
                     }
                     Err(e) => tracing::debug!("renew: {e}"),
                 },
             }
-            let shunned = self.shunned.get().is_some();
-            let Some(id) = self.lease.get() else { continue };
+            let shunned = self.members.shunned.get().is_some();
+            let Some(id) = self.members.lease.get() else {
+                continue;
+            };
             if written != Some((id, shunned)) {
                 let me = Member {
                     lease: id,
@@ -76,12 +142,11 @@
                         permit: Some(id),
                     }],
                 };
-                match self.store.txn(&t).await {
-                    Outcome::Done(rev) => {
+                match self.feed.txn(&t).await {
+                    Outcome::Done(_) => {
                         written = Some((id, shunned));
-                        self.wrote(&t, rev);
                     }
-                    Outcome::Refused(400) => self.lease.set(None),
+                    Outcome::Refused(400) => self.members.lease.set(None),
                     _ => {}
                 }
             }
@@ -94,7 +159,7 @@
     /// settings said so. Until then everything is written as the version before reads it.
     async fn settle_layout(&self) {
         let t = {
-            let v = self.view.borrow();
+            let v = self.feed.view();
             if v.layout.is_some() {
                 return;
             }
@@ -123,15 +188,14 @@
             });
             t
         };
-        match self.store.txn(&t).await {
-            Outcome::Done(rev) => {
-                self.wrote(&t, rev);
-                if self.view.borrow().layout.is_some() {
+        match self.feed.txn(&t).await {
+            Outcome::Done(_) => {
+                if self.feed.view().layout.is_some() {
                     tracing::info!("every controller knows the newer layout: in force");
                 }
             }
             _ => {
-                self.barrier().await;
+                self.feed.barrier().await;
             }
         }
     }
@@ -139,28 +203,27 @@
     /// Takes the parts that fall to us.
     pub async fn parts_loop(self: Rc<Node>) {
         loop {
-            let l = self.wake.listen();
+            let l = self.feed.bell().listen();
             futures_lite::FutureExt::or(l, async {
                 self.sleep(SECOND / 3).await;
             })
             .await;
             self.sleep(50 * MILLI).await;
-            if !self.loaded.get() || !self.state_ok() {
+            if !self.feed.loaded() || !self.feed.current() {
                 continue;
             }
             self.look_whether_deaf();
             let Some(t) = self.wanted_parts() else {
                 continue;
             };
-            match self.store.txn(&t).await {
-                Outcome::Done(rev) => {
+            match self.feed.txn(&t).await {
+                Outcome::Done(_) => {
                     tracing::info!(parts = t.then.len(), "parts taken");
-                    self.wrote(&t, rev);
                     // The term counts once everything before it is in the view.
-                    self.barrier().await;
+                    self.feed.barrier().await;
                 }
                 _ => {
-                    self.barrier().await;
+                    self.feed.barrier().await;
                     self.sleep(100 * MILLI).await;
                 }
             }
@@ -168,8 +231,8 @@
     }
 
     fn wanted_parts(&self) -> Option<Txn> {
-        let lease = self.lease.get()?;
-        let v = self.view.borrow();
+        let lease = self.members.lease.get()?;
+        let v = self.feed.view();
         let me = v.members.get(self.me()).filter(|m| m.lease == lease)?;
         if wall().saturating_sub(me.since) < SECOND && v.members.len() == 1 && v.parts.is_empty() {
             // At the very start the others come up within moments: one round of taking is enough.
@@ -178,7 +241,7 @@
         let ops = self.state_limits().txn_ops;
         let settled = wall().saturating_sub(SETTLED);
         let want = assign(&v.parts, &self.living(&v), settled);
-        let mut raise = self.raise.borrow_mut();
+        let mut raise = self.members.raise.borrow_mut();
         let member = keys::member(self.me());
         let mut t = Txn {
             guards: vec![Guard {
@@ -217,19 +280,19 @@
     /// Gives our parts up when it is us whom the workers cannot reach.
     fn look_whether_deaf(&self) {
         let now = self.clock.now();
-        if let Some(at) = self.shunned.get() {
+        if let Some(at) = self.members.shunned.get() {
             if now.saturating_sub(at) > SHUNNED {
-                self.shunned.set(None);
+                self.members.shunned.set(None);
             }
             return;
         }
-        let v = self.view.borrow();
+        let v = self.feed.view();
         if !self.alone(&v, now) || v.members.len() < 2 {
             return;
         }
-        let told = now.saturating_sub(self.bounced.get()) < DEAF;
+        let told = now.saturating_sub(self.members.bounced.get()) < DEAF;
         let deaf = {
-            let m = self.machines.borrow();
+            let m = self.fleet.machines();
             m.values()
                 .map(|m| m.heard)
                 .max()
@@ -237,15 +300,15 @@
         };
         if told || deaf {
             tracing::warn!(told, "workers cannot reach us: parts given up");
-            self.shunned.set(Some(now));
+            self.members.shunned.set(Some(now));
         }
     }
 
     /// Becomes the leader if there is none. True while we lead.
     pub async fn leads(&self) -> bool {
         let t = {
-            let v = self.view.borrow();
-            let Some(lease) = self.lease.get() else {
+            let v = self.feed.view();
+            let Some(lease) = self.members.lease.get() else {
                 return false;
             };
             if v.members.get(self.me()).is_none_or(|m| m.lease != lease) {
@@ -273,14 +336,13 @@
                 }],
             }
         };
-        match self.store.txn(&t).await {
-            Outcome::Done(rev) => {
+        match self.feed.txn(&t).await {
+            Outcome::Done(_) => {
                 tracing::info!("leading");
-                self.wrote(&t, rev);
-                self.barrier().await
+                self.feed.barrier().await
             }
             _ => {
-                self.barrier().await;
+                self.feed.barrier().await;
                 false
             }
         }
@@ -298,20 +360,10 @@
     }
 
     async fn hello(&self, s: crate::settings::Sibling) {
-        let bounced = {
-            let now = self.clock.now();
-            let red = self.redirected.borrow();
-            red.iter()
-                .filter(|(_, (to, at, n))| {
-                    *to == s.name && *n >= 2 && now.saturating_sub(*at) < 3 * SECOND
-                })
-                .map(|(m, _)| m.clone())
-                .take(50)
-                .collect()
-        };
+        let bounced = self.fleet.bounced(&s.name, self.clock.now());
         let h = Hello {
             node: self.me().to_string(),
-            state_ok: self.state_ok(),
+            state_ok: self.feed.current(),
             unreachable: self.unreachable(),
             bounced,
             up: self.up_unwritten(),
@@ -326,12 +378,12 @@
                 self.note_peer(p);
             }
             None => {
-                let mut peers = self.peers.borrow_mut();
+                let mut peers = self.members.peers.borrow_mut();
                 if let Some(p) = peers.get_mut(&s.name) {
                     p.missed += 1;
                     if p.missed == MISSED {
                         drop(peers);
-                        self.wake();
+                        self.feed.bell().ring();
                     }
                 }
             }
@@ -342,10 +394,10 @@
     /// places gangs on everybody's machines needs to know, and a write for each of them would come
     /// at a moment when writes are what everybody waits for.
     fn up_unwritten(&self) -> Vec<(String, u64)> {
-        let view = self.view.borrow();
+        let view = self.feed.view();
         let now = self.clock.now();
-        self.machines
-            .borrow()
+        self.fleet
+            .machines()
             .iter()
             .filter(|(id, m)| {
                 m.fenced()
@@ -365,7 +417,8 @@
 
     /// Peers that did not answer us lately.
     fn unreachable(&self) -> Vec<String> {
-        self.peers
+        self.members
+            .peers
             .borrow()
             .iter()
             .filter(|(_, p)| p.missed >= MISSED)
@@ -377,7 +430,7 @@
     /// over from one that lives is safe (terms fence it), only unkind: so all others that answer us
     /// must find the same, and at least one must.
     fn living(&self, v: &View) -> BTreeMap<String, Member> {
-        let peers = self.peers.borrow();
+        let peers = self.members.peers.borrow();
         let answering: Vec<&PeerState> = peers.values().filter(|p| p.missed < MISSED).collect();
         let dead = |n: &str| {
             peers.get(n).is_some_and(|p| p.missed >= MISSED)
@@ -398,11 +451,11 @@
             return;
         }
         let now = self.clock.now();
-        let mut up = self.peers_up.borrow_mut();
+        let mut up = self.members.peers_up.borrow_mut();
         up.retain(|_, (_, at)| now.saturating_sub(*at) < UP_HEARD);
         up.extend(p.up.into_iter().map(|(id, s)| (id.into(), (s, now))));
         drop(up);
-        self.peers.borrow_mut().insert(
+        self.members.peers.borrow_mut().insert(
             p.node,
             PeerState {
                 heard: self.clock.now(),
@@ -420,19 +473,19 @@
         };
         let now = self.clock.now();
         let missing = {
-            let m = self.machines.borrow();
+            let m = self.fleet.machines();
             h.bounced.iter().any(|b| {
                 m.get(b.as_str())
                     .is_some_and(|m| now.saturating_sub(m.heard) > self.settings.report * 3 / 2)
             })
         };
         if missing {
-            self.bounced.set(now);
+            self.members.bounced.set(now);
         }
         self.note_peer(h);
         let me = Hello {
             node: self.me().to_string(),
-            state_ok: self.state_ok(),
+            state_ok: self.feed.current(),
             unreachable: self.unreachable(),
             bounced: Vec::new(),
             up: self.up_unwritten(),
--- a/src/members/mod.rs
+++ b/src/members/mod.rs
@@ -2,7 +2,8 @@
 
 mod keep;
 
-use crate::store::view::{VERSION, Version};
+pub use keep::Membership;
+
 use fnv::FnvHasher;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -11,6 +12,17 @@
 /// Number of parts. Fixed: a machine's part, and with it its token, must never change.
 pub const PARTS: u32 = 12;
 
+/// The layout that a controller reads and writes.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Version {
+    /// Number.
+    #[serde(rename = "v")]
+    pub version: u32,
+}
+
+/// The layout of this version of the program: packed and split blocks, pipelines.
+pub const VERSION: u32 = 2;
+
 /// A controller that is alive; its key hangs on its lease.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Member {
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -7,8 +7,8 @@
 //! Equal tasks are decided as one run: the cost is that of jobs and of machines with room, not of
 //! tasks times machines.
 
-use crate::ids::HostId;
 use crate::hosts::model::{Host, HostState};
+use crate::ids::HostId;
 use crate::jobs::commit::Intent;
 use crate::jobs::model::{JobId, Room, Slot, Spec};
 use crate::settings::{Objective, ObjectiveKind, Team};
--- a/src/store/view.rs
+++ b/src/store/view.rs
@@ -1,20 +1,19 @@
 //! The view: what the state service holds, as far as this node has heard. Pure; fed by lists,
 //! watches and the node's own transactions.
 
-use crate::ids::HostId;
 use crate::fairness::{Counts, Raises};
 use crate::hosts::model::{Charter, Host, HostState, Leaving};
+use crate::ids::HostId;
 use crate::jobs::model::{
     AnyRecord, BLOCK, Block, Final, Ids, JobId, Load, Placement, Slot, Spec, Stored, blocks, fresh,
 };
-use crate::members::{Leader, Member, Part};
+use crate::members::{Leader, Member, Part, Version};
 use crate::store::keys;
 use crate::time::{Micros, SECOND};
 use crate::wire::cloud::MachineType;
 use crate::wire::from_value;
 use crate::wire::user::Rank;
 use ciborium::Value;
-use serde::{Deserialize, Serialize};
 use foldhash::{HashMap, HashSet, HashSetExt};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
@@ -160,17 +159,6 @@
     pub epoch: u64,
 }
 
-/// The layout that a controller reads and writes.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Version {
-    /// Number.
-    #[serde(rename = "v")]
-    pub version: u32,
-}
-
-/// The layout of this version of the program: packed and split blocks, pipelines.
-pub const VERSION: u32 = 2;
-
 const TOMBS: usize = 20_000;
 const FINALS: usize = 20_000;
 
@@ -655,11 +643,7 @@
 
     /// A job's specification: its blocks stay as they are.
     fn put_job(&mut self, id: JobId, spec: Rc<Spec>) {
-        if self
-            .jobs
-            .get(&id)
-            .is_some_and(|j| !j.spec.weighs_as(&spec))
-        {
+        if self.jobs.get(&id).is_some_and(|j| !j.spec.weighs_as(&spec)) {
             self.drop_job(&id);
         }
         if let Some(j) = self.jobs.get_mut(&id) {
--- a/src/workers/drive.rs
+++ b/src/workers/drive.rs
@@ -1,9 +1,9 @@
 //! Driving workers: reports in, orders out, and what is wanted of machines.
 
-use crate::ids::HostId;
 use super::{Machine, News, orders, sick};
-use crate::hosts::UP_MAX;
-use crate::hosts::model::{Host, HostState, put_host};
+use crate::hosts::model::{Host, HostState};
+use crate::hosts::{UP_MAX, put_host};
+use crate::ids::HostId;
 use crate::jobs::model::JobId;
 use crate::members::part_of;
 use crate::node::Node;
@@ -15,8 +15,10 @@
 use crate::wire::state::{Guard, Txn};
 use crate::wire::worker::{ORDERS, Order, Orders, Redirect, Report, TaskStatus};
 use crate::wire::{decode, encode};
+use foldhash::{HashMap, HashSet};
 use http_types::Method;
-use foldhash::HashSet;
+use std::cell::{Cell, Ref, RefCell};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 
 /// Orders in one answer: it may hold 64 KiB.
@@ -42,6 +44,86 @@
 const BACK_OFF: Micros = SECOND / 2;
 const BACK_OFF_MAX: Micros = 20 * SECOND;
 
+/// Failures of a job's tasks, to back off.
+#[derive(Clone, Debug, Default)]
+struct Failing {
+    /// How many.
+    count: u32,
+    /// Not before.
+    until: Micros,
+    /// On which machines.
+    hosts: HashSet<HostId>,
+}
+
+/// A machine that was sent to another controller.
+struct Redirected {
+    to: String,
+    at: Micros,
+    times: u32,
+}
+
+/// The machines of our parts, as their reports show them.
+#[derive(Default)]
+pub struct Fleet {
+    machines: RefCell<BTreeMap<HostId, Machine>>,
+    /// Machines to look at in the next pass.
+    dirty: RefCell<HashSet<HostId>>,
+    /// Machines with a write of their key under way.
+    busy_hosts: RefCell<HashSet<HostId>>,
+    /// Jobs whose tasks fail.
+    failing: RefCell<HashMap<JobId, Failing>>,
+    /// Durations of finished tasks, by job: image fetch and run.
+    durations: RefCell<HashMap<JobId, Vec<[Micros; 2]>>>,
+    redirected: RefCell<HashMap<String, Redirected>>,
+    /// After which silence machines with replicas are called.
+    call_every: Cell<Micros>,
+}
+
+impl Fleet {
+    /// The machines. Not to be held over an await.
+    pub fn machines(&self) -> Ref<'_, BTreeMap<HostId, Machine>> {
+        self.machines.borrow()
+    }
+    /// Durations of finished tasks, by job.
+    pub fn durations(&self) -> Ref<'_, HashMap<JobId, Vec<[Micros; 2]>>> {
+        self.durations.borrow()
+    }
+    /// Machines of which something was heard since this was asked last.
+    pub fn take_dirty(&self) -> HashSet<HostId> {
+        self.dirty.take()
+    }
+    /// Whether a job's tasks failed so lately that it is not tried now.
+    pub fn backs_off(&self, job: &str, now: Micros) -> bool {
+        let failing = self.failing.borrow();
+        failing.get(job).is_some_and(|f| f.until > now)
+    }
+    /// Machines that come back to us although we sent them to this controller.
+    pub fn bounced(&self, from: &str, now: Micros) -> Vec<String> {
+        let red = self.redirected.borrow();
+        red.iter()
+            .filter(|(_, r)| r.to == from && r.times >= 2 && now.saturating_sub(r.at) < 3 * SECOND)
+            .map(|(m, _)| m.clone())
+            .take(50)
+            .collect()
+    }
+    /// Notes that a machine was sent to another controller.
+    fn redirect(&self, host: &str, to: &str, now: Micros) {
+        let mut red = self.redirected.borrow_mut();
+        red.retain(|_, r| now.saturating_sub(r.at) < 15 * SECOND);
+        let r = red.entry(host.to_string()).or_insert(Redirected {
+            to: to.to_string(),
+            at: now,
+            times: 0,
+        });
+        if r.to != to {
+            r.to = to.to_string();
+            r.times = 0;
+        }
+        r.at = now;
+        r.times += 1;
+    }
+}
+
 impl Node {
     /// Answers a report.
     pub fn on_report(self: &Node, body: &[u8]) -> Reply {
@@ -52,13 +134,13 @@
                 return Reply::status(400);
             }
         };
-        if !self.loaded.get() {
+        if !self.feed.loaded() {
             return Reply::status(503);
         }
         let now = self.clock.now();
         let host: HostId = r.deckhand.as_str().into();
         let part = part_of(&host);
-        let view = self.view.borrow();
+        let view = self.feed.view();
         let Some(term) = self.term(&view, part) else {
             return self.redirect(&view, part, &r.deckhand, now);
         };
@@ -69,7 +151,7 @@
             // Someone newer drives this machine; our view is behind.
             return Reply::status(503);
         }
-        let mut machines = self.machines.borrow_mut();
+        let mut machines = self.fleet.machines.borrow_mut();
         let m = machines
             .entry(host.clone())
             .or_insert_with(|| Machine::new(term, now));
@@ -90,8 +172,8 @@
         let changed = news.changed;
         self.learn(&host, news, now);
         if changed || !view.hosts.contains_key(&host) {
-            self.dirty.borrow_mut().insert(host);
-            self.wake();
+            self.fleet.dirty.borrow_mut().insert(host);
+            self.feed.bell().ring();
         }
         Reply::with(
             200,
@@ -107,7 +189,7 @@
     /// not hear of a cancellation; its tasks must be gone `cancel` after it was told, and live for
     /// `lease` after our last answer.
     fn may_answer(&self, now: Micros) -> bool {
-        let blind = now.saturating_sub(self.fresh_at.get());
+        let blind = self.feed.blind(now);
         let lease = self.settings.lease + self.settings.lease / 1000;
         blind + lease + 3 * SECOND < self.settings.cancel || self.common_outage()
     }
@@ -124,16 +206,7 @@
         {
             return Reply::status(503);
         }
-        let mut red = self.redirected.borrow_mut();
-        red.retain(|_, (_, at, _)| now.saturating_sub(*at) < 15 * SECOND);
-        let e = red
-            .entry(host.to_string())
-            .or_insert((p.owner.clone(), now, 0));
-        if e.0 != p.owner {
-            *e = (p.owner.clone(), now, 0);
-        }
-        e.1 = now;
-        e.2 += 1;
+        self.fleet.redirect(host, &p.owner, now);
         Reply::with(
             421,
             &Redirect {
@@ -145,8 +218,8 @@
     /// What a report brought, for fairness and for backing off.
     fn learn(&self, host: &HostId, news: News, now: Micros) {
         if !news.finished.is_empty() {
-            let mut d = self.durations.borrow_mut();
-            let mut failing = self.failing.borrow_mut();
+            let mut d = self.fleet.durations.borrow_mut();
+            let mut failing = self.fleet.failing.borrow_mut();
             for f in news.finished {
                 failing.remove(&f.job);
                 let list = d.entry(f.job).or_default();
@@ -160,10 +233,10 @@
             // complete, or run on, elsewhere is not at fault: it is not held back, and its failures
             // speak against the machine.
             if self.sound(&job, host, now) {
-                self.failing.borrow_mut().remove(&job);
+                self.fleet.failing.borrow_mut().remove(&job);
                 continue;
             }
-            let mut failing = self.failing.borrow_mut();
+            let mut failing = self.fleet.failing.borrow_mut();
             let f = failing.entry(job).or_default();
             f.hosts.insert(host.clone());
             // One bad machine says little about the job: back off once it fails on others too.
@@ -177,9 +250,9 @@
 
     /// Whether a job's tasks are known to work on some machine other than this one.
     fn sound(&self, job: &JobId, host: &HostId, now: Micros) -> bool {
-        self.durations.borrow().contains_key(job)
-            || self.view.borrow().jobs.get(job).is_some_and(|j| j.done > 0)
-            || self.machines.borrow().iter().any(|(id, m)| {
+        self.fleet.durations.borrow().contains_key(job)
+            || self.feed.view().jobs.get(job).is_some_and(|j| j.done > 0)
+            || self.fleet.machines.borrow().iter().any(|(id, m)| {
                 id != host
                     && m.tasks.iter().any(|((j, _), s)| {
                         j == job
@@ -191,7 +264,7 @@
 
     /// Keeps an entry for every machine of our parts, under the current term.
     pub fn adopt_machines(&self, view: &View, terms: &[Option<u64>], now: Micros) {
-        let mut machines = self.machines.borrow_mut();
+        let mut machines = self.fleet.machines.borrow_mut();
         let term = |id: &str| terms[part_of(id) as usize];
         machines.retain(|id, m| {
             let keep = term(id) == Some(m.term)
@@ -213,24 +286,18 @@
                     m.addr = h.addr.as_ref().and_then(|a| a.parse().ok());
                 }
                 machines.insert(id.clone(), m);
-                self.dirty.borrow_mut().insert(id.clone());
+                self.fleet.dirty.borrow_mut().insert(id.clone());
             }
         }
-        let mut raise = self.raise.borrow_mut();
-        raise.clear();
-        raise.extend(
-            machines
-                .iter()
-                .filter(|(_, m)| {
-                    m.stuck()
-                        && now.saturating_sub(m.heard) < self.settings.report * 2
-                        && now.saturating_sub(m.probe_failed) > STUCK
-                })
-                .map(|(id, _)| part_of(id)),
-        );
-        let mut failing = self.failing.borrow_mut();
+        let stuck = machines.iter().filter(|(_, m)| {
+            m.stuck()
+                && now.saturating_sub(m.heard) < self.settings.report * 2
+                && now.saturating_sub(m.probe_failed) > STUCK
+        });
+        self.members.raise_terms(stuck.map(|(id, _)| part_of(id)));
+        let mut failing = self.fleet.failing.borrow_mut();
         failing.retain(|j, _| view.jobs.contains_key(j));
-        let mut d = self.durations.borrow_mut();
+        let mut d = self.fleet.durations.borrow_mut();
         d.retain(|j, _| view.jobs.contains_key(j));
     }
 
@@ -249,7 +316,7 @@
             let (kind, zone, spot, addr) = m.about.clone()?;
             // A key that was deleted belonged to a machine that was returned and is gone, however
             // lately it was heard: written again, it would get tasks that never start.
-            let returned = self.view.borrow().deleted(&keys::host(id));
+            let returned = self.feed.view().deleted(&keys::host(id));
             let known = m.fenced.is_some_and(|f| now.saturating_sub(f) > UP_MAX);
             if returned
                 || !m.fenced()
@@ -280,7 +347,7 @@
             if w.state == HostState::Booting {
                 w.state = HostState::Up;
             }
-            let failing = self.failing.borrow();
+            let failing = self.fleet.failing.borrow();
             let elsewhere = |j: &str| {
                 failing
                     .get(j)
@@ -313,7 +380,7 @@
     /// Whether it is us whom the machines cannot reach, rather than single machines that died:
     /// more than one is silent, and they are the most of those that were up.
     pub fn alone(&self, view: &View, now: Micros) -> bool {
-        let machines = self.machines.borrow();
+        let machines = self.fleet.machines.borrow();
         let quiet = |m: &Machine| now.saturating_sub(m.heard) > self.settings.report * 3 / 2;
         if machines.values().filter(|m| quiet(m)).take(2).count() < 2 {
             return false;
@@ -335,21 +402,21 @@
 
     /// Writes the difference between wanted and known machines.
     pub fn write_hosts(self: &Rc<Node>, now: Micros) {
-        if !self.state_ok() {
+        if !self.feed.current() {
             return;
         }
         let mut t = Txn::default();
         let mut ids = Vec::new();
         {
-            let view = self.view.borrow();
+            let view = self.feed.view();
             let alone = self.alone(&view, now);
-            let machines = self.machines.borrow();
-            let (level, burst) = self.store.write_level();
+            let machines = self.fleet.machines.borrow();
+            let (level, burst) = self.feed.client().write_level();
             let spare = level > burst / 2.0;
             let debt = level <= 0.0;
             let ops = self.state_limits().txn_ops;
             let mut ups = 0;
-            let busy = self.busy_hosts.borrow();
+            let busy = self.fleet.busy_hosts.borrow();
             for (id, m) in machines.iter() {
                 if busy.contains(id) || t.then.len() >= ops {
                     continue;
@@ -387,23 +454,26 @@
         if ids.is_empty() {
             return;
         }
-        self.busy_hosts.borrow_mut().extend(ids.iter().cloned());
+        self.fleet
+            .busy_hosts
+            .borrow_mut()
+            .extend(ids.iter().cloned());
         let n = self.clone();
         self.ex
             .spawn(async move {
-                match n.store.txn(&t).await {
-                    Outcome::Done(rev) => n.wrote(&t, rev),
+                match n.feed.txn(&t).await {
+                    Outcome::Done(_) => {}
                     Outcome::Refused(_) => n.sleep(SECOND / 4).await,
                     _ => {
-                        n.barrier().await;
+                        n.feed.barrier().await;
                     }
                 }
-                let mut busy = n.busy_hosts.borrow_mut();
+                let mut busy = n.fleet.busy_hosts.borrow_mut();
                 for id in &ids {
                     busy.remove(id);
                 }
                 drop(busy);
-                n.wake();
+                n.feed.bell().ring();
             })
             .detach();
     }
@@ -411,12 +481,14 @@
     /// Sends direct orders where something is to do, and the bare token where it is not known yet.
     /// `only`: these machines; all of them otherwise.
     pub fn drive(self: &Rc<Node>, now: Micros, only: Option<&HashSet<HostId>>) {
-        let view = self.view.borrow();
-        let mut machines = self.machines.borrow_mut();
+        let view = self.feed.view();
+        let mut machines = self.fleet.machines.borrow_mut();
         let heard = machines.values().map(|m| m.heard).max().unwrap_or(0);
         if only.is_none() {
             let n = machines.keys().filter(|id| replicas(&view, id)).count();
-            self.call_every.set(call_every(n, self.settings.core_share));
+            self.fleet
+                .call_every
+                .set(call_every(n, self.settings.core_share));
         }
         let all: Vec<HostId> = match only {
             Some(d) => d.iter().cloned().collect(),
@@ -436,7 +508,7 @@
             let list = if m.fenced() {
                 let silent = now.saturating_sub(m.heard);
                 let quiet = silent > self.settings.report * 5 / 4 + SECOND / 4;
-                let call = quiet || (silent > self.call_every.get() && replicas(&view, id));
+                let call = quiet || (silent > self.fleet.call_every.get() && replicas(&view, id));
                 let mut l = orders(&view, id, m, false);
                 if quiet || (m.probe_failed > 0 && now.saturating_sub(m.probe_failed) < UNSURE) {
                     // It may be gone. A start would only become one more that may run late; a
@@ -490,7 +562,7 @@
             )
             .await;
         let now = self.clock.now();
-        let mut machines = self.machines.borrow_mut();
+        let mut machines = self.fleet.machines.borrow_mut();
         let Some(m) = machines.get_mut(&id).filter(|m| m.term == term) else {
             return;
         };
@@ -522,8 +594,8 @@
                 self.http.forget(addr);
             }
         }
-        self.dirty.borrow_mut().insert(id);
-        self.wake();
+        self.fleet.dirty.borrow_mut().insert(id);
+        self.feed.bell().ring();
     }
 }
 
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -5,6 +5,8 @@
 
 mod drive;
 
+pub use drive::Fleet;
+
 use crate::ids::HostId;
 use crate::jobs::commit::Intent;
 use crate::jobs::model::{JobId, Placement, parse_task, task_name};
--- a/tests/grown.rs
+++ b/tests/grown.rs
@@ -1,10 +1,10 @@
 //! Fleets of the grown deployments' size: plans keep the Rules and equal those of a plain one,
 //! transactions keep the limits of size and count.
 
-use coppergw::ids::HostId;
 use coppergw::hosts::lead::forget_gone;
 use coppergw::hosts::model::{Charter, Host, HostState, Leaving};
 use coppergw::hosts::{UP_MAX, not_expected};
+use coppergw::ids::HostId;
 use coppergw::jobs::commit::{Intent, Limits, stage};
 use coppergw::jobs::model::{Block, JobId, Record, Room, Slot, Spec};
 use coppergw::members::{PARTS, Part};
@@ -16,8 +16,8 @@
 use coppergw::wire::state::{Change, Txn};
 use coppergw::wire::user::{Rank, Shape};
 use coppergw::wire::{encode, to_value};
-use proptest::prelude::*;
 use foldhash::{HashMap, HashMapExt, HashSet, HashSetExt};
+use proptest::prelude::*;
 use std::collections::BTreeMap;
 
 const LIMITS: Limits = Limits {
--- a/tests/pipelines.rs
+++ b/tests/pipelines.rs
@@ -2,23 +2,23 @@
 //! cancellations, restarts and late transactions. The store checks every write against its limits; the
 //! version in production is met through the types that it reads and writes with.
 
-use coppergw::ids::HostId;
 use coppergw::fairness::rounds::fitting;
 use coppergw::hosts::lead::shrink_charter;
 use coppergw::hosts::model::{Charter, Host, HostState};
+use coppergw::ids::HostId;
 use coppergw::jobs::commit::{Intent, Limits, acceptance, stage, sweep, withdraw};
 use coppergw::jobs::model::{
     Block, Final, Ids, JobId, Needs, Placement, Record, Room, Slot, Spec, Stored,
 };
 use coppergw::jobs::pipelines::{Named, answer, named};
-use coppergw::members::{Member, all_know};
+use coppergw::members::{Member, VERSION, Version, all_know};
 use coppergw::store::keys;
-use coppergw::store::view::{VERSION, Version, View};
+use coppergw::store::view::View;
 use coppergw::wire::state::{Change, Guard, Txn};
 use coppergw::wire::user::{Rank, Shape, Status};
 use coppergw::wire::{from_value, json_size, to_value};
-use proptest::prelude::*;
 use foldhash::{HashMap, HashMapExt, HashSet, HashSetExt};
+use proptest::prelude::*;
 use std::collections::{BTreeMap, BTreeSet};
 
 const NODES: usize = 3;
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -13,8 +13,8 @@
 use coppergw::wire::state::Change;
 use coppergw::wire::to_value;
 use coppergw::wire::user::{Rank, Shape};
-use proptest::prelude::*;
 use foldhash::{HashMap, HashMapExt, HashSet, HashSetExt};
+use proptest::prelude::*;
 
 const CAP: i64 = 6000;
 
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -2,8 +2,8 @@
 //! service, a cloud that takes machines back, and workers. The controllers' own state machines run
 //! as they are. Messages get lost, or arrive late: transactions, direct orders and reports.
 
-use coppergw::ids::HostId;
 use coppergw::hosts::model::{Host, HostState};
+use coppergw::ids::HostId;
 use coppergw::jobs::commit::{Intent, Limits, stage};
 use coppergw::jobs::model::{Block, JobId, Record, Room, Slot, Spec};
 use coppergw::members::{Member, PARTS, Part, assign, part_of};
@@ -17,8 +17,8 @@
 use coppergw::wire::user::{Rank, Shape};
 use coppergw::wire::worker::{Cause, Order, Report, TaskReport, TaskStatus};
 use coppergw::workers::{Machine, orders, reconcile};
-use proptest::prelude::*;
 use foldhash::{HashMap, HashMapExt, HashSet, HashSetExt};
+use proptest::prelude::*;
 use std::collections::BTreeMap;
 
 const LEASE: Micros = 18 * SECOND;
