--- a/src/control/decide.rs
+++ b/src/control/decide.rs
@@ -169,14 +169,15 @@
         let mut busy = p.busy.clone();
         let mut out = Vec::new();
         let mut add = |intents: &[Intent], keep: f64| {
-            if intents.is_empty() {
+            // Users who wait for an answer come before all of it. What cannot be written now is not
+            // even worked out.
+            if intents.is_empty() || level < burst * keep {
                 return;
             }
             for s in stage(view, intents, &busy, p.capped, p.limits) {
                 let n = s.txn.then.len() as f64;
                 if level < burst * keep {
-                    // Users who wait for an answer come before all of it.
-                    continue;
+                    return;
                 }
                 level -= n;
                 if tracing::enabled!(tracing::Level::DEBUG) {
