--- a/src/control/decide.rs
+++ b/src/control/decide.rs
@@ -9,7 +9,9 @@
 use foldhash::{HashMap, HashMapExt, HashSet};
 use std::collections::BTreeMap;
 
-/// Arrays are placed this often: what became free meanwhile is one write.
+/// A plan at most this often: what became free or came in meanwhile is one plan.
+const PLAN: Micros = SECOND / 10;
+/// Arrays and gangs are placed this often: what became free meanwhile is one write.
 const ARRAY_ROUND: Micros = 2 * SECOND / 5;
 /// Arrays get this share of a second's budget at the latest after this, whatever else waits.
 const ARRAY_LATEST: Micros = 2 * SECOND;
@@ -57,7 +59,8 @@
     }
 }
 
-/// What makes the plan of a pass: the room of tasks that left, whether arrays and steps take part.
+/// What makes the plan of a pass: the room of tasks that left, whether arrays take part, and whether
+/// gangs and steps of pipelines do.
 pub type Planner<'a> = &'a dyn Fn(&HashMap<HostId, Room>, bool, bool) -> Vec<Intent>;
 
 /// What a pass decides on.
@@ -86,6 +89,7 @@
     left_since: HashMap<JobId, Micros>,
     arrays_at: Micros,
     steps_at: Micros,
+    plan_at: Micros,
 }
 
 impl Rounds {
@@ -140,6 +144,7 @@
         }
         // Never arrays without steps: these come first, and would find their room taken.
         let steps = arrays || now.saturating_sub(self.steps_at) >= ARRAY_ROUND;
+        let due = steps || now.saturating_sub(self.plan_at) >= PLAN;
         if steps {
             self.steps_at = now;
         }
@@ -147,7 +152,13 @@
         // In the plan's order, each job's intents together.
         let mut first: Vec<(JobId, Vec<Intent>)> = Vec::new();
         let mut places: HashMap<JobId, usize> = HashMap::new();
-        for i in (p.plan)(&freed, arrays, steps) {
+        let planned = if due {
+            self.plan_at = now;
+            (p.plan)(&freed, arrays, steps)
+        } else {
+            Vec::new()
+        };
+        for i in planned {
             // A step of a pipeline that has its deadline before it goes with services and gangs.
             let array = matches!(&i, Intent::Place { job, .. }
             if view.jobs.get(job).is_some_and(|j| {
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -23,12 +23,15 @@
 
 /// Pause between two control passes: at least this, and this many times what the pass took, so that
 /// reports and users are answered while there is much to decide.
-const PASS: Micros = 20 * MILLI;
-const PASS_REST: u64 = 3;
+const PASS: Micros = 30 * MILLI;
+const PASS_REST: u64 = 8;
 /// A control pass at least this often.
 const IDLE_PASS: Micros = SECOND / 5;
-/// Every machine is looked at this often, and at most this part of the time goes into it.
-const SWEEP: Micros = SECOND / 5;
+/// Every machine is compared with its blocks this often, and at most this part of the time goes into
+/// it. What changes meanwhile is seen when it does.
+const SWEEP: Micros = SECOND;
+/// Silent machines are looked for, and machines' keys written, this often.
+const SILENT: Micros = SECOND / 5;
 const SWEEP_REST: u64 = 12;
 /// Others' waiting tasks are taken only after this: their owner comes first.
 const TAKE_SERVICE: Micros = 6 * SECOND / 5;
@@ -120,9 +123,10 @@
                 });
             }
         }
-        if full || now.saturating_sub(self.control.hosts_at.get()) >= SWEEP {
+        if full || now.saturating_sub(self.control.hosts_at.get()) >= SILENT {
             self.control.hosts_at.set(now);
             self.write_hosts(now);
+            self.overdue(now, &mut dirty);
         }
         for s in staged {
             self.control
@@ -203,7 +207,7 @@
         }
         let machines = self.fleet.machines();
         let mine = |h: &str| terms[part_of(h) as usize].is_some();
-        let gangs = terms[GANGS as usize].is_some();
+        let gangs = steps && terms[GANGS as usize].is_some();
         let waits = gangs
             && view
                 .jobs
--- a/src/store/view.rs
+++ b/src/store/view.rs
@@ -151,7 +151,7 @@
     pub loads: HashMap<HostId, Load>,
     /// Machines whose key or tasks changed since this was emptied last.
     pub touched: HashSet<HostId>,
-    /// Counts changes of machines' keys.
+    /// Counts machines that came or went.
     pub hosts_epoch: u64,
     /// Images each machine has probably cached.
     pub images: HashMap<HostId, HashSet<String>>,
@@ -293,10 +293,11 @@
                 if v.is_none() {
                     self.images.remove(&id);
                 }
-                self.hosts_epoch += 1;
                 self.touched.insert(id.clone());
+                let was = self.hosts.contains_key(&id);
                 put(&mut self.hosts, id.clone(), v);
                 self.depart(&id);
+                self.hosts_epoch += u64::from(was != self.hosts.contains_key(&id));
             }
             "leaving" => {
                 let old = self.leaving.get(id).map(|l| l.names.clone());
@@ -316,12 +317,13 @@
                         }
                     }
                 }
+                let before = self.hosts.len();
                 for n in new.names {
                     self.left.insert(n.clone(), new.gone);
                     self.touched.insert(n.clone());
                     self.depart(&n);
                 }
-                self.hosts_epoch += 1;
+                self.hosts_epoch += u64::from(before != self.hosts.len());
             }
             "final" => {
                 let id: JobId = id.into();
--- a/src/workers/drive.rs
+++ b/src/workers/drive.rs
@@ -478,6 +478,31 @@
             .detach();
     }
 
+    /// Machines to which nothing happened and that are to be called all the same: silent for too
+    /// long, not fenced yet, or put off after a call that failed.
+    pub fn overdue(&self, now: Micros, dirty: &mut HashSet<HostId>) {
+        let view = self.feed.view();
+        let mut machines = self.fleet.machines.borrow_mut();
+        for (id, m) in machines.iter_mut() {
+            if m.busy || now < m.not_before {
+                continue;
+            }
+            let silent = now.saturating_sub(m.heard);
+            if std::mem::take(&mut m.not_before) > 0
+                || !m.fenced()
+                || self.quiet(silent)
+                || (silent > self.fleet.call_every.get() && replicas(&view, id))
+            {
+                dirty.insert(id.clone());
+            }
+        }
+    }
+
+    /// Whether a machine has been silent for longer than between two reports.
+    fn quiet(&self, silent: Micros) -> bool {
+        silent > self.settings.report * 5 / 4 + SECOND / 4
+    }
+
     /// Sends direct orders where something is to do, and the bare token where it is not known yet.
     /// `only`: these machines; all of them otherwise.
     pub fn drive(self: &Rc<Node>, now: Micros, only: Option<&HashSet<HostId>>) {
@@ -507,7 +532,7 @@
             let session = if m.session > 0 { m.session } else { h.session };
             let list = if m.fenced() {
                 let silent = now.saturating_sub(m.heard);
-                let quiet = silent > self.settings.report * 5 / 4 + SECOND / 4;
+                let quiet = self.quiet(silent);
                 let call = quiet || (silent > self.fleet.call_every.get() && replicas(&view, id));
                 let mut l = orders(&view, id, m, false);
                 if quiet || (m.probe_failed > 0 && now.saturating_sub(m.probe_failed) < UNSURE) {
