--- a/src/hosts/lead.rs
+++ b/src/hosts/lead.rs
@@ -516,34 +516,32 @@
             // Answered 200: they are gone with all that was on them.
             l.gone = true;
         }
-        let t = {
-            let v = self.feed.view();
-            let change = if l.names.is_empty() {
-                Change::Delete {
-                    remove: key.clone(),
-                }
-            } else {
-                Change::Put {
-                    put: key.clone(),
-                    v: to_value(&l),
-                    permit: None,
-                }
-            };
-            Txn {
-                guards: vec![Guard {
-                    stamp: v.stamp(&key),
-                    path: key,
-                }],
-                then: vec![change],
-            }
+        // If it cannot be written they are returned once more: the cloud ignores names that it does
+        // not know.
+        self.conclude(key, (!l.names.is_empty()).then(|| to_value(&l)))
+            .await;
+    }
+
+    /// Writes what the cloud's answer means for a key, or deletes it, if it is as the view has it.
+    async fn conclude(&self, key: String, value: Option<ciborium::Value>) {
+        let stamp = self.feed.view().stamp(&key);
+        let change = match value {
+            Some(v) => Change::Put {
+                put: key.clone(),
+                v,
+                permit: None,
+            },
+            None => Change::Delete {
+                remove: key.clone(),
+            },
         };
-        match self.feed.txn(&t).await {
-            Outcome::Done(_) => {}
-            // Returned once more: the cloud ignores names that it does not know.
-            _ => {
-                self.feed.barrier().await;
-                self.sleep(SECOND / 4).await;
-            }
+        let t = Txn {
+            guards: vec![Guard { path: key, stamp }],
+            then: vec![change],
+        };
+        if !matches!(self.feed.txn(&t).await, Outcome::Done(_)) {
+            self.feed.barrier().await;
+            self.sleep(SECOND / 4).await;
         }
     }
 
@@ -661,40 +659,16 @@
         if !names.is_empty() && names.len() < c.count as usize {
             refuse(self);
         }
-        let key = keys::charter(name);
-        let t = {
-            let v = self.feed.view();
-            let change = if names.is_empty() {
-                Change::Delete {
-                    remove: key.clone(),
-                }
-            } else {
-                Change::Put {
-                    put: key.clone(),
-                    v: to_value(&Charter {
-                        names,
-                        at: asked,
-                        ..c.clone()
-                    }),
-                    permit: None,
-                }
-            };
-            Txn {
-                guards: vec![Guard {
-                    stamp: v.stamp(&key),
-                    path: key,
-                }],
-                then: vec![change],
-            }
-        };
-        match self.feed.txn(&t).await {
-            Outcome::Done(_) => {}
-            // Asked again with the same name: the cloud gives the same answer.
-            _ => {
-                self.feed.barrier().await;
-                self.sleep(SECOND / 4).await;
-            }
-        }
+        let charter = (!names.is_empty()).then(|| {
+            to_value(&Charter {
+                names,
+                at: asked,
+                ..c.clone()
+            })
+        });
+        // If it cannot be written it is asked for again with the same name: the cloud gives the same
+        // answer.
+        self.conclude(keys::charter(name), charter).await;
     }
 
     /// Takes machines out of charters that have keys of their own, or are gone; an empty charter goes.
--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,115 @@
+//! What the tests share: a job, a machine type, limits and a state service of their own.
+#![allow(dead_code)]
+
+use coppergw::jobs::commit::Limits;
+use coppergw::jobs::model::{Room, Spec};
+use coppergw::time::SECOND;
+use coppergw::wire::cloud::MachineType;
+use coppergw::wire::state::{Change, Guard, Txn};
+use coppergw::wire::to_value;
+use coppergw::wire::user::{Rank, Shape};
+use std::collections::BTreeMap;
+
+/// Limits of the grown deployments, in the layout that every version reads.
+pub const LIMITS: Limits = Limits {
+    ops: 16,
+    merge: 16,
+    bytes: 48_000,
+    value: 32_000,
+    layout: false,
+    packed: false,
+    wall: 0,
+};
+
+/// A job of one plain class; tests change what matters to them.
+pub fn spec(kind: Shape, tasks: u32) -> Spec {
+    Spec {
+        class: "c".into(),
+        team: "team".into(),
+        kind,
+        rank: Rank::Normal,
+        tasks,
+        room: Room {
+            cpus: 1000,
+            gpus: 0,
+            memory: 1000,
+        },
+        image: "i".into(),
+        image_size: 1,
+        types: None,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: true,
+        estimate: 10 * SECOND,
+        checkpoint: 0,
+        save: 0,
+        deadline: None,
+        submitted: 1,
+        cancelled: false,
+        needs: Default::default(),
+    }
+}
+
+/// A machine type of one zone.
+pub fn machine_type(sku: &str, cores: f64, gpus: f64) -> MachineType {
+    MachineType {
+        sku: sku.into(),
+        cores,
+        accelerators: gpus,
+        ram_gb: 192.0,
+        local_gb: 30.0,
+        fetch_gb_per_s: 1.0,
+        rate: 1.0 + gpus * 3.0,
+        market_price: Some(0.4),
+        ready_s: 15.0,
+        yards: vec!["a".into()],
+    }
+}
+
+/// A stand-in for the state service.
+#[derive(Default)]
+pub struct Store {
+    pub rev: u64,
+    pub keys: BTreeMap<String, (ciborium::Value, u64)>,
+    pub log: Vec<(u64, String, Option<ciborium::Value>)>,
+}
+
+impl Store {
+    pub fn apply(&mut self, t: &Txn) -> bool {
+        for Guard { path, stamp } in &t.guards {
+            if self.keys.get(path).map_or(0, |k| k.1) != *stamp {
+                return false;
+            }
+        }
+        self.rev += 1;
+        for c in &t.then {
+            let (key, v) = match c {
+                Change::Put { put, v, .. } => (put, Some(v.clone())),
+                Change::Delete { remove } => (remove, None),
+            };
+            let there = match &v {
+                Some(v) => {
+                    self.keys.insert(key.clone(), (v.clone(), self.rev));
+                    true
+                }
+                None => self.keys.remove(key).is_some(),
+            };
+            if there {
+                self.log.push((self.rev, key.clone(), v));
+            }
+        }
+        true
+    }
+
+    pub fn put<T: serde::Serialize>(&mut self, key: String, v: &T) {
+        self.apply(&Txn {
+            guards: vec![],
+            then: vec![Change::Put {
+                put: key,
+                v: to_value(v),
+                permit: None,
+            }],
+        });
+    }
+}
--- a/tests/grown.rs
+++ b/tests/grown.rs
@@ -1,18 +1,20 @@
 //! Fleets of the grown deployments' size: plans keep the Rules and equal those of a plain one,
 //! transactions keep the limits of size and count.
 
+mod common;
+
+use common::{LIMITS, machine_type as kind};
 use coppergw::hosts::lead::forget_gone;
 use coppergw::hosts::model::{Charter, Host, HostState, Leaving};
 use coppergw::hosts::{UP_MAX, not_expected};
 use coppergw::ids::HostId;
-use coppergw::jobs::commit::{Intent, Limits, stage};
+use coppergw::jobs::commit::{Intent, stage};
 use coppergw::jobs::model::{Block, JobId, Record, Room, Slot, Spec};
 use coppergw::members::{PARTS, Part};
 use coppergw::placement::{Open, Scene, plan};
 use coppergw::store::keys;
 use coppergw::store::view::View;
 use coppergw::time::SECOND;
-use coppergw::wire::cloud::MachineType;
 use coppergw::wire::state::{Change, Txn};
 use coppergw::wire::user::{Rank, Shape};
 use coppergw::wire::{encode, to_value};
@@ -20,57 +22,17 @@
 use proptest::prelude::*;
 use std::collections::BTreeMap;
 
-const LIMITS: Limits = Limits {
-    ops: 16,
-    merge: 16,
-    bytes: 48 * 1024,
-    value: 32_000,
-    layout: false,
-    packed: false,
-    wall: 0,
-};
-
-fn kind(sku: &str, cores: f64, gpus: f64) -> MachineType {
-    MachineType {
-        sku: sku.into(),
-        cores,
-        accelerators: gpus,
-        ram_gb: 192.0,
-        local_gb: 30.0,
-        fetch_gb_per_s: 1.0,
-        rate: 1.0 + gpus * 3.0,
-        market_price: Some(0.4),
-        ready_s: 15.0,
-        yards: vec!["a".into()],
-    }
-}
-
 fn spec(shape: Shape, rank: Rank, tasks: u32, cpus: i64, gpus: i64) -> Spec {
     Spec {
-        class: "c".into(),
-        team: "t".into(),
-        kind: shape,
         rank,
-        tasks,
         room: Room {
             cpus: cpus * 1000,
             gpus: gpus * 1000,
             memory: 1000,
         },
-        image: "i".into(),
-        image_size: 1,
-        types: None,
-        zone: None,
-        one_zone: false,
-        spread: false,
-        spot: true,
         estimate: 20 * SECOND,
-        checkpoint: 0,
-        save: 0,
-        deadline: None,
         submitted: 400 * SECOND,
-        cancelled: false,
-        needs: Default::default(),
+        ..common::spec(shape, tasks)
     }
 }
 
--- a/tests/pipelines.rs
+++ b/tests/pipelines.rs
@@ -2,19 +2,21 @@
 //! cancellations, restarts and late transactions. The store checks every write against its limits; the
 //! version in production is met through the types that it reads and writes with.
 
+mod common;
+
 use coppergw::fairness::rounds::fitting;
 use coppergw::hosts::lead::shrink_charter;
 use coppergw::hosts::model::{Charter, Host, HostState};
 use coppergw::ids::HostId;
 use coppergw::jobs::commit::{Intent, Limits, acceptance, stage, sweep, withdraw};
 use coppergw::jobs::model::{
-    Block, Final, Ids, JobId, Needs, Placement, Record, Room, Slot, Spec, Stored,
+    Block, Final, Ids, JobId, Placement, Record, Room, Slot, Spec, Stored,
 };
 use coppergw::jobs::pipelines::{Named, answer, named};
 use coppergw::members::{Member, VERSION, Version, all_know};
 use coppergw::store::keys;
 use coppergw::store::view::View;
-use coppergw::wire::state::{Change, Guard, Txn};
+use coppergw::wire::state::{Change, Txn};
 use coppergw::wire::user::{Rank, Shape, Status};
 use coppergw::wire::{from_value, json_size, to_value};
 use foldhash::{HashMap, HashMapExt, HashSet, HashSetExt};
@@ -57,61 +59,39 @@
     Spec {
         class: "claim-score".into(),
         team: "fleet-desk".into(),
-        kind,
         rank: Rank::Low,
-        tasks,
-        room: Room {
-            cpus: 1000,
-            gpus: 0,
-            memory: 1000,
-        },
         image: "image-of-some-length-07".into(),
         image_size: 900,
         types: Some(vec!["umurenge-16".into(), "imbaraga-24".into()]),
-        zone: None,
-        one_zone: false,
-        spread: false,
-        spot: true,
         estimate: 25_000_000,
         checkpoint: 15_000_000,
         save: 6_000_000,
         deadline: Some(150_000_000),
         submitted: 1_700_000_000_000_000,
-        cancelled: false,
-        needs: Needs::default(),
+        ..common::spec(kind, tasks)
     }
 }
 
 #[derive(Default)]
 struct Store {
-    rev: u64,
-    keys: BTreeMap<String, (ciborium::Value, u64)>,
-    log: Vec<(u64, String, Option<ciborium::Value>)>,
+    inner: common::Store,
     limits: (usize, usize),
 }
 
-impl Store {
-    fn apply(&mut self, t: &Txn) -> bool {
-        for Guard { path, stamp } in &t.guards {
-            if self.keys.get(path).map_or(0, |k| k.1) != *stamp {
-                return false;
-            }
-        }
-        self.rev += 1;
-        for c in &t.then {
-            let (key, v) = match c {
-                Change::Put { put, v, .. } => (put, Some(v.clone())),
-                Change::Delete { remove } => (remove, None),
-            };
-            match &v {
-                Some(v) => drop(self.keys.insert(key.clone(), (v.clone(), self.rev))),
-                None => drop(self.keys.remove(key)),
-            }
-            self.log.push((self.rev, key.clone(), v));
-        }
-        true
+impl std::ops::Deref for Store {
+    type Target = common::Store;
+    fn deref(&self) -> &common::Store {
+        &self.inner
     }
+}
 
+impl std::ops::DerefMut for Store {
+    fn deref_mut(&mut self) -> &mut common::Store {
+        &mut self.inner
+    }
+}
+
+impl Store {
     /// What the state service answers with 400: always a fault of ours.
     fn check(&self, t: &Txn) {
         let (value, ops) = self.limits;
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -1,5 +1,8 @@
 //! Placement on generated sites: whatever the plan says keeps the Rules.
 
+mod common;
+
+use common::LIMITS;
 use coppergw::hosts::model::{Host, HostState};
 use coppergw::jobs::commit::{Intent, Limits, stage};
 use coppergw::jobs::model::{Block, Record, Room, Spec};
@@ -245,43 +248,18 @@
         };
         v.put(&keys::host("m-1"), &to_value(&h), 2);
         let base = Spec {
-            class: "c".into(),
             team: "free".into(),
-            kind: Shape::Array,
             rank,
-            tasks: 1,
             room: Room {
                 cpus: 4000,
                 gpus: 0,
                 memory: 1000,
             },
-            image: "i".into(),
-            image_size: 1,
-            types: None,
-            zone: None,
-            one_zone: false,
-            spread: false,
-            spot: true,
-            estimate: 10 * SECOND,
-            checkpoint: 0,
-            save: 0,
-            deadline: None,
-            submitted: 1,
-            cancelled: false,
-            needs: Default::default(),
+            ..common::spec(Shape::Array, 1)
         };
         v.put(&keys::job("req-1"), &record(&base), 3);
-        let limits = Limits {
-            ops: 16,
-            merge: 16,
-            bytes: 48_000,
-            value: 32_000,
-            layout: false,
-            packed: false,
-            wall: 0,
-        };
         let intents = scene_plan(&v);
-        let staged = stage(&v, &intents, &HashSet::new(), &|_| false, limits);
+        let staged = stage(&v, &intents, &HashSet::new(), &|_| false, LIMITS);
         for c in &staged[0].txn.then {
             if let Change::Put { put, v: x, .. } = c {
                 v.put(put, x, 4);
@@ -354,17 +332,8 @@
         needs: Default::default(),
     };
     put(&mut v, keys::job("req-1"), record(&spec));
-    let limits = Limits {
-        ops: 16,
-        merge: 16,
-        bytes: 48_000,
-        value: 32_000,
-        layout: false,
-        packed: false,
-        wall: 0,
-    };
     let changes = |v: &View, intents: &[Intent]| {
-        let staged = stage(v, intents, &HashSet::new(), &|_| false, limits);
+        let staged = stage(v, intents, &HashSet::new(), &|_| false, LIMITS);
         staged
             .into_iter()
             .flat_map(|s| s.txn.then)
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -2,6 +2,9 @@
 //! service, a cloud that takes machines back, and workers. The controllers' own state machines run
 //! as they are. Messages get lost, or arrive late: transactions, direct orders and reports.
 
+mod common;
+
+use common::Store;
 use coppergw::hosts::model::{Host, HostState};
 use coppergw::ids::HostId;
 use coppergw::jobs::commit::{Intent, Limits, stage};
@@ -24,48 +27,6 @@
 const LEASE: Micros = 18 * SECOND;
 const NODES: usize = 3;
 
-#[derive(Default)]
-struct Store {
-    rev: u64,
-    keys: BTreeMap<String, (ciborium::Value, u64)>,
-    log: Vec<(u64, String, Option<ciborium::Value>)>,
-}
-
-impl Store {
-    fn apply(&mut self, t: &Txn) -> bool {
-        for Guard { path, stamp } in &t.guards {
-            if self.keys.get(path).map_or(0, |k| k.1) != *stamp {
-                return false;
-            }
-        }
-        self.rev += 1;
-        for c in &t.then {
-            match c {
-                Change::Put { put, v, .. } => {
-                    self.keys.insert(put.clone(), (v.clone(), self.rev));
-                    self.log.push((self.rev, put.clone(), Some(v.clone())));
-                }
-                Change::Delete { remove } => {
-                    if self.keys.remove(remove).is_some() {
-                        self.log.push((self.rev, remove.clone(), None));
-                    }
-                }
-            }
-        }
-        true
-    }
-    fn put<T: serde::Serialize>(&mut self, key: String, v: &T) {
-        self.apply(&Txn {
-            guards: vec![],
-            then: vec![Change::Put {
-                put: key,
-                v: to_value(v),
-                permit: None,
-            }],
-        });
-    }
-}
-
 #[derive(Clone)]
 struct Task {
     attempt: u64,
@@ -110,50 +71,19 @@
 }
 
 fn machine_type() -> MachineType {
-    MachineType {
-        sku: "t".into(),
-        cores: 4.0,
-        accelerators: 0.0,
-        ram_gb: 16.0,
-        local_gb: 10.0,
-        fetch_gb_per_s: 1.0,
-        rate: 1.0,
-        market_price: None,
-        ready_s: 10.0,
-        yards: vec!["z".into()],
-    }
+    common::machine_type("t", 4.0, 0.0)
 }
 
 fn spec(kind: Shape, tasks: u32, at: Micros) -> Spec {
     Spec {
-        class: "c".into(),
-        team: "team".into(),
-        kind,
         rank: if kind == Shape::Service {
             Rank::Production
         } else {
             Rank::Normal
         },
-        tasks,
-        room: Room {
-            cpus: 1000,
-            gpus: 0,
-            memory: 1000,
-        },
-        image: "i".into(),
-        image_size: 1,
-        types: None,
-        zone: None,
-        one_zone: false,
-        spread: false,
         spot: false,
-        estimate: 10 * SECOND,
-        checkpoint: 0,
-        save: 0,
-        deadline: None,
         submitted: at,
-        cancelled: false,
-        needs: Default::default(),
+        ..common::spec(kind, tasks)
     }
 }
 
