--- a/src/members/keep.rs
+++ b/src/members/keep.rs
@@ -26,6 +26,8 @@
 const MISSED: u32 = 2;
 /// Silence of our machines after which we look whether it is us.
 const DEAF: Micros = 6 * SECOND;
+/// How often we look whether it is us.
+const LOOK: Micros = SECOND / 4;
 /// What a peer said of its machines counts for so long.
 const UP_HEARD: Micros = 3 * SECOND;
 /// A message between controllers names so many of them at most.
@@ -60,6 +62,8 @@
     peers_up: RefCell<HashMap<HostId, (u64, Micros)>>,
     /// When a peer told us that machines of ours come back to it.
     bounced: Cell<Micros>,
+    /// When we looked last whether it is us whom the workers cannot reach.
+    looked: Cell<Micros>,
 }
 
 impl Membership {
@@ -280,6 +284,10 @@
     /// Gives our parts up when it is us whom the workers cannot reach.
     fn look_whether_deaf(&self) {
         let now = self.clock.now();
+        if now.saturating_sub(self.members.looked.get()) < LOOK {
+            return;
+        }
+        self.members.looked.set(now);
         if let Some(at) = self.members.shunned.get() {
             if now.saturating_sub(at) > SHUNNED {
                 self.members.shunned.set(None);
