--- a/src/control/decide.rs
+++ b/src/control/decide.rs
@@ -123,11 +123,7 @@
             }
         }
         // What is over, and what was withdrawn before it was placed.
-        for (id, j) in &view.jobs {
-            if (j.cancelled() && j.placed == 0) || j.done == j.spec.tasks {
-                ends.push((0, id));
-            }
-        }
+        ends.extend(view.index().over.iter().map(|id| (0, id)));
         ends.sort_by_key(|(at, id)| (!view.waited_for(id), *at, *id));
         let (mut level, burst) = p.budget;
         let waited = now.saturating_sub(self.arrays_at);
--- a/src/jobs/model.rs
+++ b/src/jobs/model.rs
@@ -47,6 +47,10 @@
         self.gpus += need.gpus;
         self.memory += need.memory;
     }
+    /// CPUs, GPUs, memory.
+    pub fn amounts(&self) -> [i64; 3] {
+        [self.cpus, self.gpus, self.memory]
+    }
     /// How many of `need` fit.
     pub fn times(&self, need: &Room) -> i64 {
         let f = |have: i64, n: i64| if n > 0 { have / n } else { i64::MAX };
@@ -237,7 +241,7 @@
     /// Whether what tasks come to on a machine is the same for both.
     pub fn weighs_as(&self, other: &Spec) -> bool {
         let what = |s: &Spec| (s.tasks, s.room, s.kind, s.rank, s.checkpoint > 0);
-        what(self) == what(other)
+        what(self) == what(other) && self.team == other.team
     }
 }
 
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -16,7 +16,7 @@
 use crate::time::{Micros, SECOND};
 use crate::wire::user::{Rank, Shape};
 use foldhash::{HashMap, HashMapExt, HashSet, HashSetExt};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// A machine that may be given tasks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -143,6 +143,7 @@
 }
 
 /// Machines with GPUs, as those without need of them see them.
+#[derive(Clone, Copy)]
 struct Gpus {
     /// The most that a task with GPUs takes.
     need: Room,
@@ -226,7 +227,7 @@
 }
 
 /// Makes the plan.
-pub fn plan(s: &Scene<'_>) -> Plan {
+pub fn plan<'a>(s: &Scene<'a>) -> Plan {
     let v = s.view;
     let mut out = Plan::default();
     let elsewhere = elsewhere(v);
@@ -236,24 +237,30 @@
         need: Room::default(),
         waits: false,
     };
-    for j in v.jobs.values() {
-        let team: &str = &j.spec.team;
+    for (team, r) in &v.index().teams {
+        let u = usage.entry(team).or_default();
+        (u.cpus, u.gpus, u.wanted_cpus, u.wanted_gpus) = (r.cpus, r.gpus, r.cpus, r.gpus);
+    }
+    let waiting = || {
+        let ids = v.index().waiting.iter();
+        ids.filter_map(|id| Some((id, v.jobs.get(id)?)))
+    };
+    for (_, j) in waiting() {
         let r = &j.spec.room;
         // What waits for other jobs holds no part of its team's guarantee or limit.
-        let waits = if j.ready { j.waiting } else { 0 };
-        let u = usage.entry(team).or_default();
-        u.cpus += r.cpus * i64::from(j.placed);
-        u.gpus += r.gpus * i64::from(j.placed);
-        u.wanted_cpus += r.cpus * i64::from(j.placed + waits);
-        u.wanted_gpus += r.gpus * i64::from(j.placed + waits);
-        if r.gpus > 0 {
-            gpus.waits |= j.queued() > 0;
-            gpus.need = Room {
-                cpus: gpus.need.cpus.max(r.cpus),
-                gpus: gpus.need.gpus.max(r.gpus),
-                memory: gpus.need.memory.max(r.memory),
-            };
-        }
+        if j.ready {
+            let u = usage.entry(&j.spec.team).or_default();
+            u.wanted_cpus += r.cpus * i64::from(j.waiting);
+            u.wanted_gpus += r.gpus * i64::from(j.waiting);
+        }
+        gpus.waits |= r.gpus > 0 && j.queued() > 0;
+    }
+    for [cpus, g, memory] in v.index().gpu_rooms.keys() {
+        gpus.need = Room {
+            cpus: gpus.need.cpus.max(*cpus),
+            gpus: gpus.need.gpus.max(*g),
+            memory: gpus.need.memory.max(*memory),
+        };
     }
     let guarantee = |team: &str| s.teams.iter().find(|t| t.name == team);
     let entitled = |team: &str| {
@@ -268,7 +275,7 @@
         tidy(s, &mut out.intents);
     }
     let mut queue: Vec<Entry<'_>> = Vec::new();
-    for (id, job) in &v.jobs {
+    for (id, job) in waiting() {
         let kind = job.spec.kind;
         let queued = if s.forecast {
             v.queued_soon(job)
@@ -328,32 +335,51 @@
         .iter()
         .map(|(k, t)| (k.as_str(), Room::of(t)))
         .collect();
-    let mut spots: Vec<Spot<'_>> = v
-        .hosts
-        .iter()
-        .filter_map(|(id, host)| {
-            let open = (s.open)(id, host)?;
-            let whole = *rooms.get(host.kind.as_str())?;
-            let mut free = whole;
-            free.take(&v.load(id).used);
-            if let Some(f) = s.freed.get(id) {
-                free.give(f);
-            }
-            Some(Spot {
-                id: id.clone(),
-                host,
-                session: open.session,
-                mine: open.mine,
-                booting: s.forecast && host.state == HostState::Booting,
-                free,
-                whole,
-                images: v.images.get(id),
-                soft: None,
-                guests: None,
-                elsewhere,
-            })
+    let see = |(id, host): (&HostId, &'a Host)| {
+        let open = (s.open)(id, host)?;
+        let whole = *rooms.get(host.kind.as_str())?;
+        let mut free = whole;
+        free.take(&v.load(id).used);
+        if let Some(f) = s.freed.get(id) {
+            free.give(f);
+        }
+        Some(Spot {
+            id: id.clone(),
+            host,
+            session: open.session,
+            mine: open.mine,
+            booting: s.forecast && host.state == HostState::Booting,
+            free,
+            whole,
+            images: v.images.get(id),
+            soft: None,
+            guests: None,
+            elsewhere,
         })
-        .collect();
+    };
+    // Gangs may send guests away, and the forecast tells of every machine; else those with room are
+    // enough until somebody has to be pushed aside.
+    let mut all = s.forecast || queue.iter().any(|e| e.job.spec.kind == Shape::Gang);
+    let mut spots: Vec<Spot<'_>> = if all {
+        v.hosts.iter().filter_map(see).collect()
+    } else {
+        let least = queue
+            .iter()
+            .map(|e| e.job.spec.room.cpus)
+            .min()
+            .unwrap_or(0);
+        with_room(s, least)
+            .into_iter()
+            .filter_map(|id| see((id, v.hosts.get(id)?)))
+            .collect()
+    };
+    let mut complete = |spots: &mut Vec<Spot<'a>>| {
+        if !std::mem::replace(&mut all, true) {
+            let known: HashSet<HostId> = spots.iter().map(|s| s.id.clone()).collect();
+            let others = v.hosts.iter().filter(|(id, _)| !known.contains(*id));
+            spots.extend(others.filter_map(see));
+        }
+    };
     let mut reserved = false;
     // Kinds of tasks for which no machine had room: room only becomes less.
     let mut full: HashSet<Kind<'_>> = HashSet::new();
@@ -418,7 +444,7 @@
                 let mut run = Run {
                     spec,
                     home: e.home,
-                    gpus: &gpus,
+                    gpus,
                     zones: zones(v, e.job),
                     waiting,
                     got: Vec::new(),
@@ -441,12 +467,18 @@
                         .filter(|_| prefers)
                         .unwrap_or(order.len());
                     rest -= run.fill(&mut spots, &order[..cold], rest);
+                    if prefers && rest > 0 {
+                        complete(&mut spots);
+                    }
                     while prefers && rest > 0 && make_room(v, &run, &mut spots, true, &mut out) {
                         rest -= 1;
                     }
                     rest -= run.fill(&mut spots, &order[cold..], rest);
                 }
                 missing = rest as u32 + (e.count - count) as u32;
+                if pushes && rest > 0 {
+                    complete(&mut spots);
+                }
                 while pushes && rest > 0 {
                     if !make_room(v, &run, &mut spots, false, &mut out) {
                         if !zoned {
@@ -478,6 +510,17 @@
     out
 }
 
+/// Machines on which so many CPUs may be free, in order of their names.
+fn with_room<'a>(s: &Scene<'a>, least: i64) -> Vec<&'a HostId> {
+    let index = s.view.index();
+    let from = (least, HostId::from(""));
+    let mut ids: Vec<&HostId> = index.free.range(from..).map(|x| &x.1).collect();
+    let short = |id: &HostId| s.view.free_cpus(id).is_some_and(|n| n < least);
+    ids.extend(s.freed.keys().filter(|id| short(id)));
+    ids.sort_unstable();
+    ids
+}
+
 /// How many tasks of a job are in each zone; only asked for jobs to which it matters.
 fn zones<'a>(v: &'a View, job: &Job) -> HashMap<&'a str, u32> {
     let mut zones = HashMap::new();
@@ -495,7 +538,7 @@
 struct Run<'a> {
     spec: &'a Spec,
     home: bool,
-    gpus: &'a Gpus,
+    gpus: Gpus,
     zones: HashMap<&'a str, u32>,
     waiting: Vec<u32>,
     got: Vec<Target>,
@@ -517,10 +560,16 @@
             .iter()
             .enumerate()
             .filter(|(_, sp)| {
-                self.suits(sp) && offer(self.spec, sp, self.gpus).fits(&self.spec.room)
+                self.suits(sp) && offer(self.spec, sp, &self.gpus).fits(&self.spec.room)
             })
             .map(|(k, sp)| (score(self.spec, sp), k))
             .collect();
+        // Each takes one at least.
+        let n = self.waiting.len();
+        if n > 0 && n < list.len() {
+            list.select_nth_unstable(n - 1);
+            list.truncate(n);
+        }
         list.sort_unstable();
         list
     }
@@ -530,7 +579,7 @@
         let mut placed = 0;
         for (_, k) in order {
             let sp = &mut spots[*k];
-            while placed < n && offer(self.spec, sp, self.gpus).fits(&self.spec.room) {
+            while placed < n && offer(self.spec, sp, &self.gpus).fits(&self.spec.room) {
                 self.take(sp);
                 placed += 1;
             }
@@ -545,7 +594,7 @@
             .enumerate()
             .filter(|(_, sp)| {
                 self.suits(sp)
-                    && offer(self.spec, sp, self.gpus).fits(&self.spec.room)
+                    && offer(self.spec, sp, &self.gpus).fits(&self.spec.room)
                     && zone_ok(self.spec, &self.zones, &sp.host.zone)
             })
             .min_by_key(|(k, sp)| (score(self.spec, sp), *k))
@@ -574,14 +623,22 @@
             .is_some_and(|h| h.state == HostState::Draining)
     };
     if s.gangs {
-        for (id, job) in &v.jobs {
+        // Gangs of which a task waits while others are placed, and those on machines about to be taken.
+        let mut gangs: BTreeSet<&JobId> = v.index().waiting.iter().collect();
+        for host in v.index().leaving.iter().filter(|h| draining(h)) {
+            gangs.extend(
+                v.tasks_on(host)
+                    .into_iter()
+                    .flat_map(|t| t.keys())
+                    .map(|k| &k.0),
+            );
+        }
+        for id in gangs {
+            let Some(job) = v.jobs.get(id) else { continue };
             if job.placed == 0 || job.spec.kind != Shape::Gang || job.cancelled() {
                 continue;
             }
             let broken = job.waiting > 0;
-            if !broken && !job.placements().any(|(_, p)| draining(&p.host)) {
-                continue;
-            }
             let grace = if broken { 0 } else { job.spec.save };
             for (index, p) in job.placements() {
                 if p.stop.is_none_or(|g| broken && g > grace) {
@@ -595,7 +652,8 @@
             }
         }
     }
-    for (host, h) in &v.hosts {
+    for host in &v.index().leaving {
+        let Some(h) = v.hosts.get(host) else { continue };
         let closing =
             h.state == HostState::Closing && v.tasks_on(host).is_some() && only_guests(v, host, h);
         if (h.state != HostState::Draining && !closing) || !(s.mine)(host) {
@@ -862,7 +920,7 @@
         if sp.soft.is_none() {
             sp.soft = Some(soft(v, spec, sp));
         }
-        let offer = offer(spec, sp, run.gpus);
+        let offer = offer(spec, sp, &run.gpus);
         let Some(s) = &sp.soft else { continue };
         let mut soon = offer;
         soon.give(&s.stopping);
--- a/src/store/view.rs
+++ b/src/store/view.rs
@@ -5,7 +5,8 @@
 use crate::hosts::model::{Charter, Host, HostState, Leaving};
 use crate::ids::HostId;
 use crate::jobs::model::{
-    AnyRecord, BLOCK, Block, Final, Ids, JobId, Load, Placement, Slot, Spec, Stored, blocks, fresh,
+    AnyRecord, BLOCK, Block, Final, Ids, JobId, Load, Placement, Room, Slot, Spec, Stored, blocks,
+    fresh,
 };
 use crate::members::{Leader, Member, Part, Version};
 use crate::store::keys;
@@ -61,6 +62,10 @@
     pub fn cancelled(&self) -> bool {
         self.spec.cancelled || self.doomed
     }
+    /// Whether what is left is to write its end: all done, or cancelled with nothing placed.
+    pub fn over(&self) -> bool {
+        (self.cancelled() && self.placed == 0) || self.done == self.spec.tasks
+    }
     /// Whether it is a step of a pipeline with a deadline.
     pub fn step(&self) -> bool {
         self.piped && self.due.is_some()
@@ -97,6 +102,24 @@
     }
 }
 
+/// What decisions look up instead of going through all jobs and machines. Kept as these change, and
+/// equal at any time to what going through all of them would give (`tests/grown.rs`).
+#[derive(Default, Debug, PartialEq)]
+pub struct Index {
+    /// Jobs with tasks that wait, whether they may start or not.
+    pub waiting: BTreeSet<JobId>,
+    /// Jobs that are over: what is left is to write their end.
+    pub over: BTreeSet<JobId>,
+    /// What each team's placed tasks take.
+    pub teams: BTreeMap<String, Room>,
+    /// What tasks with GPUs take, and how many jobs take that: CPUs, GPUs, memory.
+    pub gpu_rooms: BTreeMap<[i64; 3], u32>,
+    /// Machines that take nothing new: draining or closing.
+    pub leaving: BTreeSet<HostId>,
+    /// Machines by the CPUs that are free on them.
+    pub free: BTreeSet<(i64, HostId)>,
+}
+
 /// The view.
 #[derive(Default)]
 pub struct View {
@@ -149,6 +172,9 @@
     pub on_host: BTreeMap<HostId, BTreeMap<(JobId, u32), Placement>>,
     /// What the tasks on each machine come to.
     pub loads: HashMap<HostId, Load>,
+    index: Index,
+    /// Where each machine stands in the index of free CPUs.
+    free_of: HashMap<HostId, i64>,
     /// Machines whose key or tasks changed since this was emptied last.
     pub touched: HashSet<HostId>,
     /// Counts machines that came or went.
@@ -254,6 +280,10 @@
                 } else if let Some(t) = v.and_then(from_value::<Vec<MachineType>>) {
                     self.types = t.into_iter().map(|t| (t.sku.clone(), t)).collect();
                 }
+                let all: Vec<HostId> = self.hosts.keys().cloned().collect();
+                for id in all {
+                    self.index_host(&id);
+                }
             }
             "version" => put(&mut self.versions, id.to_string(), v),
             "layout" => self.layout = v.and_then(from_value).or(self.layout),
@@ -314,6 +344,7 @@
                             && let Some(x) = self.hosts.get_mut(&n)
                         {
                             x.state = h;
+                            self.index_host(&n);
                         }
                     }
                 }
@@ -489,6 +520,7 @@
                 j.doomed = doomed;
                 j.since = since;
             }
+            self.index_job(&id);
             if changed {
                 self.epoch += 1;
                 list.extend(self.dependents.get(&id).into_iter().flatten().cloned());
@@ -598,6 +630,11 @@
     /// A machine that is on its way back is that whatever its own key says; one that is gone does not
     /// come back by a write that was made before its owner heard of it.
     fn depart(&mut self, id: &HostId) {
+        self.overlay_state(id);
+        self.index_host(id);
+    }
+
+    fn overlay_state(&mut self, id: &HostId) {
         match self.left.get(id) {
             Some(true) => {
                 self.hosts.remove(id);
@@ -625,7 +662,9 @@
         };
         for n in old.iter().filter(|n| !names.contains(n)) {
             if !self.stamps.contains_key(&keys::host(n)) {
-                self.hosts.remove(n.as_str());
+                let id = HostId::from(n.as_str());
+                self.hosts.remove(&id);
+                self.index_host(&id);
                 self.hosts_epoch += 1;
             }
         }
@@ -653,6 +692,7 @@
             j.spec = spec;
             let hosts: Vec<HostId> = j.placements().map(|(_, p)| p.host.clone()).collect();
             self.touched.extend(hosts);
+            self.index_job(&id);
             if let (true, Some(d)) = (withdrawn, self.dependents.get(&id)) {
                 let list: Vec<JobId> = d.iter().cloned().collect();
                 let needs = self.jobs.get(&id).map(|j| j.needs.clone());
@@ -661,6 +701,9 @@
             }
             return;
         }
+        if spec.room.gpus > 0 {
+            *self.index.gpu_rooms.entry(spec.room.amounts()).or_default() += 1;
+        }
         let tasks = spec.tasks;
         let alone = spec.needs.is_empty();
         let waited_for = self.dependents.get(&id).cloned();
@@ -683,6 +726,7 @@
                 spec,
             },
         );
+        self.index_job(&id);
         self.link(&id);
         if let Some(d) = waited_for {
             self.refresh(d.into_iter().collect());
@@ -720,6 +764,15 @@
         let Some(j) = self.jobs.remove(id) else {
             return;
         };
+        self.index_job(id);
+        if j.spec.room.gpus > 0
+            && let Some(n) = self.index.gpu_rooms.get_mut(&j.spec.room.amounts())
+        {
+            *n -= 1;
+            if *n == 0 {
+                self.index.gpu_rooms.remove(&j.spec.room.amounts());
+            }
+        }
         for n in &j.needs {
             if let Some(d) = self.dependents.get_mut(n) {
                 d.remove(id);
@@ -745,6 +798,8 @@
             return;
         };
         let old = std::mem::replace(place, b.unwrap_or_else(|| fresh(tasks, n)));
+        let mut moved: Vec<HostId> = Vec::new();
+        let before = j.placed;
         let longest = old.0.len().max(place.0.len());
         for k in 0..longest {
             let (was, is) = (old.0.get(k), place.0.get(k));
@@ -757,7 +812,7 @@
                 Some(Slot::Done) => j.done -= 1,
                 Some(Slot::Placed(p)) => {
                     j.placed -= 1;
-                    self.touched.insert(p.host.clone());
+                    moved.push(p.host.clone());
                     if let Some(m) = self.on_host.get_mut(&p.host) {
                         m.remove(&(id.clone(), i));
                         if m.is_empty() {
@@ -775,7 +830,7 @@
                 Some(Slot::Done) => j.done += 1,
                 Some(Slot::Placed(p)) => {
                     j.placed += 1;
-                    self.touched.insert(p.host.clone());
+                    moved.push(p.host.clone());
                     self.on_host
                         .entry(p.host.clone())
                         .or_default()
@@ -789,6 +844,108 @@
                 None => {}
             }
         }
+        self.reindex(id, before, moved);
+    }
+
+    /// Keeps what is known of all jobs of a team, and of machines and jobs that changed, in the index.
+    fn reindex(&mut self, id: &JobId, before: u32, mut moved: Vec<HostId>) {
+        if let Some(j) = self.jobs.get(id).filter(|j| j.placed != before) {
+            let n = i64::from(j.placed) - i64::from(before);
+            let r = &j.spec.room;
+            let team = &j.spec.team;
+            if !self.index.teams.contains_key(team) {
+                self.index.teams.insert(team.clone(), Room::default());
+            }
+            if let Some(t) = self.index.teams.get_mut(team) {
+                t.give(&Room {
+                    cpus: r.cpus * n,
+                    gpus: r.gpus * n,
+                    memory: r.memory * n,
+                });
+                if *t == Room::default() {
+                    self.index.teams.remove(team);
+                }
+            }
+        }
+        moved.sort_unstable();
+        moved.dedup();
+        for h in moved {
+            self.index_host(&h);
+            self.touched.insert(h);
+        }
+        self.index_job(id);
+    }
+
+    fn index_job(&mut self, id: &JobId) {
+        let j = self.jobs.get(id);
+        set(
+            &mut self.index.waiting,
+            id,
+            j.is_some_and(|j| j.waiting > 0),
+        );
+        set(&mut self.index.over, id, j.is_some_and(Job::over));
+    }
+
+    fn index_host(&mut self, id: &HostId) {
+        let h = self.hosts.get(id);
+        let leaves = |h: &Host| matches!(h.state, HostState::Draining | HostState::Closing);
+        set(&mut self.index.leaving, id, h.is_some_and(leaves));
+        let free = h
+            .and_then(|h| self.types.get(&h.kind))
+            .map(|t| Room::of(t).cpus - self.load(id).used.cpus);
+        let old = self.free_of.get(id).copied();
+        if old == free {
+            return;
+        }
+        if let Some(n) = old {
+            self.index.free.remove(&(n, id.clone()));
+            self.free_of.remove(id);
+        }
+        if let Some(n) = free {
+            self.index.free.insert((n, id.clone()));
+            self.free_of.insert(id.clone(), n);
+        }
+    }
+
+    /// CPUs that are free on a machine.
+    pub fn free_cpus(&self, id: &HostId) -> Option<i64> {
+        self.free_of.get(id).copied()
+    }
+
+    /// The index.
+    pub fn index(&self) -> &Index {
+        &self.index
+    }
+
+    /// The index as going through everything gives it.
+    pub fn index_afresh(&self) -> Index {
+        let mut out = Index::default();
+        for (id, j) in &self.jobs {
+            set(&mut out.waiting, id, j.waiting > 0);
+            set(&mut out.over, id, j.over());
+            let r = &j.spec.room;
+            if r.gpus > 0 {
+                *out.gpu_rooms.entry(r.amounts()).or_default() += 1;
+            }
+            for _ in 0..j.placed {
+                out.teams.entry(j.spec.team.clone()).or_default().give(r);
+            }
+        }
+        out.teams.retain(|_, r| *r != Room::default());
+        for (id, h) in &self.hosts {
+            let leaves = matches!(h.state, HostState::Draining | HostState::Closing);
+            set(&mut out.leaving, id, leaves);
+            if let Some(t) = self.types.get(&h.kind) {
+                let mut free = Room::of(t);
+                for (job, _) in self.tasks_on(id).into_iter().flat_map(|t| t.keys()) {
+                    if let Some(j) = self.jobs.get(job) {
+                        free.take(&j.spec.room);
+                    }
+                }
+                out.free.insert((free.cpus, id.clone()));
+            }
+        }
+        out
     }
 
     /// Keeps a final state at hand.
@@ -859,6 +1016,15 @@
     }
 }
 
+/// Puts a member into a set, or takes it out.
+fn set<T: Ord + Clone>(s: &mut BTreeSet<T>, x: &T, member: bool) {
+    if !member {
+        s.remove(x);
+    } else if !s.contains(x) {
+        s.insert(x.clone());
+    }
+}
+
 /// Puts one of the keys that a block was split into in its place.
 fn overlay(b: &mut Block, per: u32, k: u32, leaf: &Block) {
     let from = (per as usize).saturating_mul(k as usize);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -2,7 +2,8 @@
 #![allow(dead_code)]
 
 use coppergw::jobs::commit::Limits;
-use coppergw::jobs::model::{Room, Spec};
+use coppergw::jobs::model::{Load, Room, Spec};
+use coppergw::store::view::View;
 use coppergw::time::SECOND;
 use coppergw::wire::cloud::MachineType;
 use coppergw::wire::state::{Change, Guard, Txn};
@@ -113,3 +114,16 @@
         });
     }
 }
+
+/// What the view keeps for look-ups equals what going through all jobs and machines gives. A plan that
+/// misses a machine or a job would leave it out without a word.
+pub fn indexed(v: &View) {
+    assert_eq!(*v.index(), v.index_afresh());
+    for (host, tasks) in &v.on_host {
+        let mut load = Load::default();
+        for (job, _) in tasks.keys() {
+            load.add(&v.jobs[job].spec);
+        }
+        assert_eq!(v.load(host), load, "{host}");
+    }
+}
--- a/tests/grown.rs
+++ b/tests/grown.rs
@@ -92,6 +92,7 @@
                 Change::Delete { remove } => self.view.delete(remove, self.rev),
             }
         }
+        common::indexed(&self.view);
     }
 
     fn plan(&self, freed: &HashMap<HostId, Room>) -> Vec<Intent> {
--- a/tests/pipelines.rs
+++ b/tests/pipelines.rs
@@ -199,6 +199,7 @@
         }
         node.seen = self.store.log.len();
         node.view.rev = self.store.rev;
+        common::indexed(&node.view);
     }
 
     /// A process that comes back reads everything but the final states.
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -647,6 +647,9 @@
 
     /// What is written as done was done; what ended stays ended.
     fn check(&mut self) {
+        for n in &self.nodes {
+            common::indexed(&n.view);
+        }
         for (k, (v, _)) in &self.store.keys {
             if let Some(job) = k.strip_prefix("c/job/") {
                 let Record(_, b): Record = v.deserialized().expect("job");
