Passes 20 ms apart again, services planned in each: starts within 2 s had fallen

On a sixth of a core the rest is long, and the index made the plan itself cheap. Change: 20 ms and four times, a plan in each pass; gangs keep their rounds.

--- a/src/control/decide.rs
+++ b/src/control/decide.rs
@@ -9,8 +9,6 @@
 use foldhash::{HashMap, HashMapExt, HashSet};
 use std::collections::BTreeMap;
 
-/// A plan at most this often: what became free or came in meanwhile is one plan.
-const PLAN: Micros = SECOND / 10;
 /// Arrays and gangs are placed this often: what became free meanwhile is one write.
 const ARRAY_ROUND: Micros = 2 * SECOND / 5;
 /// Arrays get this share of a second's budget at the latest after this, whatever else waits.
@@ -89,7 +87,6 @@
     left_since: HashMap<JobId, Micros>,
     arrays_at: Micros,
     steps_at: Micros,
-    plan_at: Micros,
 }
 
 impl Rounds {
@@ -140,7 +137,6 @@
         }
         // Never arrays without steps: these come first, and would find their room taken.
         let steps = arrays || now.saturating_sub(self.steps_at) >= ARRAY_ROUND;
-        let due = steps || now.saturating_sub(self.plan_at) >= PLAN;
         if steps {
             self.steps_at = now;
         }
@@ -148,13 +144,7 @@
         // In the plan's order, each job's intents together.
         let mut first: Vec<(JobId, Vec<Intent>)> = Vec::new();
         let mut places: HashMap<JobId, usize> = HashMap::new();
-        let planned = if due {
-            self.plan_at = now;
-            (p.plan)(&freed, arrays, steps)
-        } else {
-            Vec::new()
-        };
-        for i in planned {
+        for i in (p.plan)(&freed, arrays, steps) {
             // A step of a pipeline that has its deadline before it goes with services and gangs.
             let array = matches!(&i, Intent::Place { job, .. }
             if view.jobs.get(job).is_some_and(|j| {
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -23,8 +23,8 @@
 
 /// Pause between two control passes: at least this, and this many times what the pass took, so that
 /// reports and users are answered while there is much to decide.
-const PASS: Micros = 50 * MILLI;
-const PASS_REST: u64 = 8;
+const PASS: Micros = 20 * MILLI;
+const PASS_REST: u64 = 4;
 /// A control pass at least this often.
 const IDLE_PASS: Micros = SECOND / 5;
 /// Every machine is compared with its blocks this often, and at most this part of the time goes into
