A controller that lost its workers knows it before it gives its machines up

Most machines had to be silent for one and a half report intervals, 7.5 s there, before it took itself for the one cut off; the first are given up after 5 s. Change: a call without an answer counts as silence; the decision is a pure function with a test that fails without it.

--- a/src/workers/drive.rs
+++ b/src/workers/drive.rs
@@ -1,6 +1,6 @@
 //! Driving workers: reports in, orders out, and what is wanted of machines.
 
-use super::{Machine, News, orders, sick};
+use super::{Machine, News, cut_off, orders, sick};
 use crate::hosts::model::{Host, HostState};
 use crate::hosts::{UP_MAX, put_host};
 use crate::ids::HostId;
@@ -377,27 +377,17 @@
         (w != *h).then_some(w)
     }
 
-    /// Whether it is us whom the machines cannot reach, rather than single machines that died:
-    /// more than one is silent, and they are the most of those that were up.
+    /// Whether it is us whom the machines cannot reach, rather than single machines that died.
     pub fn alone(&self, view: &View, now: Micros) -> bool {
-        let machines = self.fleet.machines.borrow();
-        let quiet = |m: &Machine| now.saturating_sub(m.heard) > self.settings.report * 3 / 2;
-        if machines.values().filter(|m| quiet(m)).take(2).count() < 2 {
-            return false;
-        }
-        let (mut up, mut silent) = (0, 0);
-        for (id, m) in machines.iter() {
-            if view.hosts.get(id).is_some_and(|h| {
+        let up = |id: &HostId| {
+            view.hosts.get(id).is_some_and(|h| {
                 !matches!(
                     h.state,
                     HostState::Booting | HostState::Lost | HostState::Returning
                 )
-            }) {
-                up += 1;
-                silent += u32::from(quiet(m));
-            }
-        }
-        silent >= 2 && silent * 2 > up
+            })
+        };
+        cut_off(&self.fleet.machines(), &up, self.settings.report, now)
     }
 
     /// Writes the difference between wanted and known machines.
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -481,6 +481,30 @@
     (jobs.len() >= 2 && own >= 2) || own >= 3
 }
 
+/// Whether it is us whom machines cannot reach, rather than single machines that died: more than one
+/// is silent, and they are the most of those that are up. A call without an answer counts as silence:
+/// a machine is given up some seconds after the last word from it, which can be sooner than its next
+/// reports are late. Those that are given up before we know that it is us are returned with all that
+/// runs there.
+pub fn cut_off(
+    machines: &BTreeMap<HostId, Machine>,
+    up: &dyn Fn(&HostId) -> bool,
+    report: Micros,
+    now: Micros,
+) -> bool {
+    let quiet =
+        |m: &Machine| m.probe_failed > m.heard || now.saturating_sub(m.heard) > report * 3 / 2;
+    if machines.values().filter(|m| quiet(m)).take(2).count() < 2 {
+        return false;
+    }
+    let (mut all, mut silent) = (0, 0);
+    for (_, m) in machines.iter().filter(|(id, _)| up(id)) {
+        all += 1;
+        silent += u32::from(quiet(m));
+    }
+    silent >= 2 && silent * 2 > all
+}
+
 /// Counts for the fairness round from the machines' tasks: the longest active task of each job.
 pub fn longest<'a>(
     machines: impl Iterator<Item = &'a Machine>,
@@ -663,6 +687,35 @@
         assert!(!m.dead, "one miss is not enough");
     }
 
+    /// A controller that loses its workers knows that it is itself before it gives the first of them
+    /// up, also where reports are as far apart as the patience with a silent machine. It gave up 237
+    /// machines within nine seconds, and the cloud took them back with their replicas.
+    #[test]
+    fn a_controller_that_is_cut_off_knows_before_it_gives_machines_up() {
+        const REPORT: Micros = 5 * SECOND;
+        const LOST_AFTER: Micros = 5 * SECOND;
+        let cut = 100 * SECOND;
+        let fleet = |gone: usize, now: Micros| -> BTreeMap<HostId, Machine> {
+            (0..100)
+                .map(|k| {
+                    let mut m = Machine::new(5, 0);
+                    // Half have replicas and are called often; others are heard when they report.
+                    let last = cut - if k % 2 == 0 { 0 } else { REPORT * k / 100 };
+                    m.heard = if (k as usize) < gone { last } else { now };
+                    let called = m.heard + if k % 2 == 0 { SECOND } else { REPORT * 5 / 4 };
+                    if (k as usize) < gone && called < now {
+                        m.probe_failed = called;
+                    }
+                    (format!("m-{k:03}").into(), m)
+                })
+                .collect()
+        };
+        let now = cut + LOST_AFTER;
+        assert!(cut_off(&fleet(100, now), &|_| true, REPORT, now));
+        assert!(!cut_off(&fleet(30, now), &|_| true, REPORT, now));
+        assert!(!cut_off(&fleet(1, now), &|_| true, REPORT, now));
+    }
+
     /// Silence proves nothing before the lease must be over, and only under our token.
     #[test]
     fn silence_alone_proves_nothing() {
