One missed call does not give a machine up: two, with another heard in between

Change: the older rule (two missed calls, another machine heard in between) or a silence twice as long while most are heard.

--- a/src/workers/drive.rs
+++ b/src/workers/drive.rs
@@ -361,16 +361,8 @@
                 w.state = HostState::Draining;
             }
         }
-        let silent = now.saturating_sub(m.heard);
-        // Silent for longer than between any two reports, and no answer to a call of ours since.
-        let unanswered = m.probe_failed > m.heard;
-
-        if w.state != HostState::Booting
-            && (m.dead
-                || (silent > self.policy.lost_after
-                    && (unanswered || silent > 2 * self.policy.lost_after)
-                    && !alone))
-        {
+        if w.state != HostState::Booting && m.given_up(self.policy.lost_after, now, alone) {
+            let silent = now.saturating_sub(m.heard);
             tracing::info!(machine = %id, silent, "silent: given up");
             w.state = HostState::Lost;
         }
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -160,6 +160,15 @@
         self.missed += 1;
     }
 
+    /// Whether to give it up, and have it returned with all that runs there: two calls without an
+    /// answer with another machine heard in between, or a silence so long that there is nothing to
+    /// wait for, unless it is us who are cut off (`alone`). One call proves nothing: at the start of a
+    /// cut each machine misses one before it is known that all do.
+    pub fn given_up(&self, lost_after: Micros, now: Micros, alone: bool) -> bool {
+        let silent = now.saturating_sub(self.heard);
+        self.dead || (silent > 2 * lost_after && !alone)
+    }
+
     /// Notes direct orders that go out.
     pub fn note(&mut self, list: &[Order], now: Micros) {
         self.lately
@@ -679,8 +688,11 @@
             m.miss(SECOND, s * SECOND);
         }
         assert!(!m.dead, "nobody else was heard either");
+        assert!(!m.given_up(5 * SECOND, 10 * SECOND, false));
+        assert!(!m.given_up(5 * SECOND, 30 * SECOND, true));
+        assert!(m.given_up(5 * SECOND, 30 * SECOND, false), "not for ever");
         m.miss(2 * SECOND + 1, 9 * SECOND);
-        assert!(m.dead);
+        assert!(m.given_up(5 * SECOND, 9 * SECOND, true));
         m.take(&report(2, 5, None), false, 10 * SECOND);
         assert!(!m.dead);
         m.miss(10 * SECOND, 11 * SECOND);
