Machines go back and are given up many with one write wherever the layout allows

Change: the packed mark is used once the layout is in force, with or without state.next; owners name machines they give up in one such key, guarded by the terms of the parts; these are returned with what is on them.

--- a/src/hosts/lead.rs
+++ b/src/hosts/lead.rs
@@ -181,7 +181,7 @@
         };
         let took = self.clock.now().saturating_sub(begun);
         mem.decide_every = DECIDE.max(took * DECIDE_REST);
-        if self.limits().packed {
+        if self.limits().layout {
             self.leave(mem, &decision.give_back).await;
         } else {
             self.mark(&decision.give_back, HostState::Returning).await;
@@ -241,7 +241,7 @@
     }
 
     /// Machines whose names fit into one charter.
-    fn per_charter(&self) -> usize {
+    pub fn per_charter(&self) -> usize {
         let names = self.value_limit().saturating_sub(CHARTER_BYTES) / NAME_BYTES;
         names.clamp(1, PER_CHARTER)
     }
@@ -453,7 +453,10 @@
                 ],
                 then: vec![Change::Put {
                     put: key,
-                    v: to_value(&Leaving { names, gone: false }),
+                    v: to_value(&Leaving {
+                        names,
+                        ..Leaving::default()
+                    }),
                     permit: None,
                 }],
             };
@@ -496,7 +499,9 @@
             return self.sleep(SECOND / 4).await;
         }
         // A placement that did not know of it yet: that machine stays.
-        let busy = {
+        let busy = if l.lost {
+            0
+        } else {
             let v = self.feed.view();
             let before = l.names.len();
             l.names.retain(|id| v.tasks_on(id).is_none());
--- a/src/hosts/mod.rs
+++ b/src/hosts/mod.rs
@@ -6,6 +6,7 @@
 
 use crate::ids::HostId;
 use crate::jobs::model::{Room, Spec};
+use crate::members::part_of;
 use crate::placement::{self, Plan, only_guests};
 use crate::policy::Policy;
 use crate::settings::{Objective, ObjectiveKind};
@@ -17,7 +18,7 @@
 use crate::wire::to_value;
 use crate::wire::user::{Rank, Shape};
 use foldhash::{HashMap, HashMapExt, HashSet};
-use model::{Charter, Host, HostState};
+use model::{Charter, Host, HostState, Leaving};
 use std::collections::BTreeMap;
 
 /// What the leader decides on.
@@ -344,6 +345,34 @@
     });
 }
 
+/// The write that gives machines up, many at a time: when a zone falls, a write for each would take all
+/// changes for seconds, while what ran there waits to be placed again. It holds only as long as the
+/// terms of their parts do: a controller that was cut off may have it delivered a minute later.
+pub fn give_up(view: &View, name: &str, names: Vec<HostId>) -> Txn {
+    let key = keys::leaving(name);
+    let mut parts: Vec<u32> = names.iter().map(|id| part_of(id)).collect();
+    parts.sort_unstable();
+    parts.dedup();
+    let guard = |path: String| Guard {
+        stamp: view.stamp(&path),
+        path,
+    };
+    let mut guards = vec![guard(key.clone())];
+    guards.extend(parts.into_iter().map(|p| guard(keys::part(p))));
+    Txn {
+        guards,
+        then: vec![Change::Put {
+            put: key,
+            v: to_value(&Leaving {
+                names,
+                gone: false,
+                lost: true,
+            }),
+            permit: None,
+        }],
+    }
+}
+
 /// Decides.
 pub fn decide(o: &Outlook<'_>) -> Decision {
     let mut out = Decision::default();
--- a/src/hosts/model.rs
+++ b/src/hosts/model.rs
@@ -112,4 +112,7 @@
     /// writes are to spare, and then this one.
     #[serde(rename = "g", default)]
     pub gone: bool,
+    /// They were given up: they go with all that is on them, and not only while they are empty.
+    #[serde(rename = "l", default, skip_serializing_if = "std::ops::Not::not")]
+    pub lost: bool,
 }
--- a/src/workers/drive.rs
+++ b/src/workers/drive.rs
@@ -2,7 +2,7 @@
 
 use super::{Machine, News, cut_off, orders, sick};
 use crate::hosts::model::{Host, HostState};
-use crate::hosts::{UP_MAX, put_host};
+use crate::hosts::{UP_MAX, give_up, put_host};
 use crate::ids::HostId;
 use crate::jobs::model::JobId;
 use crate::members::part_of;
@@ -77,6 +77,8 @@
     redirected: RefCell<HashMap<String, Redirected>>,
     /// After which silence machines with replicas are called.
     call_every: Cell<Micros>,
+    /// Writes that gave machines up: each has a name of its own.
+    marks: Cell<u64>,
 }
 
 impl Fleet {
@@ -389,8 +391,14 @@
         }
         let mut t = Txn::default();
         let mut ids = Vec::new();
+        let mut lost = Vec::new();
         {
             let view = self.feed.view();
+            let most = if self.limits().layout {
+                self.per_charter()
+            } else {
+                0
+            };
             let alone = self.alone(&view, now);
             let machines = self.fleet.machines.borrow();
             let (level, burst) = self.feed.client().write_level();
@@ -400,11 +408,15 @@
             let mut ups = 0;
             let busy = self.fleet.busy_hosts.borrow();
             for (id, m) in machines.iter() {
-                if busy.contains(id) || t.then.len() >= ops {
+                if busy.contains(id) || t.then.len() >= ops || (most > 0 && lost.len() >= most) {
                     continue;
                 }
                 let have = view.hosts.get(id);
                 if let Some(w) = self.wanted_host(id, m, have, now, alone) {
+                    if w.state == HostState::Lost && have.is_some() && most > 0 {
+                        lost.push(id.clone());
+                        continue;
+                    }
                     // That a machine is up its owner knows without a write, and tells the peers; it
                     // can wait until writes are to spare.
                     let fresh = m.fenced.is_some_and(|f| now.saturating_sub(f) < UP_MAX);
@@ -433,9 +445,21 @@
                 }
             }
         }
-        if ids.is_empty() {
-            return;
+        if !lost.is_empty() {
+            let n = self.fleet.marks.get() + 1;
+            self.fleet.marks.set(n);
+            let lease = self.members.lease().unwrap_or(0);
+            let name = format!("{}-{lease}-lost-{n}", self.me());
+            let t = give_up(&self.feed.view(), &name, lost.clone());
+            self.write_marks(t, lost);
         }
+        if !ids.is_empty() {
+            self.write_marks(t, ids);
+        }
+    }
+
+    /// Carries out a write about machines that nothing else is written about meanwhile.
+    fn write_marks(self: &Rc<Node>, t: Txn, ids: Vec<HostId>) {
         self.fleet
             .busy_hosts
             .borrow_mut()
--- a/tests/grown.rs
+++ b/tests/grown.rs
@@ -6,11 +6,11 @@
 use common::{LIMITS, machine_type as kind};
 use coppergw::hosts::lead::forget_gone;
 use coppergw::hosts::model::{Charter, Host, HostState, Leaving};
-use coppergw::hosts::{UP_MAX, not_expected};
+use coppergw::hosts::{UP_MAX, give_up, not_expected};
 use coppergw::ids::HostId;
 use coppergw::jobs::commit::{Intent, stage};
 use coppergw::jobs::model::{Block, JobId, Record, Room, Slot, Spec};
-use coppergw::members::{PARTS, Part};
+use coppergw::members::{PARTS, Part, part_of};
 use coppergw::placement::{Open, Scene, plan};
 use coppergw::store::keys;
 use coppergw::store::view::View;
@@ -375,6 +375,7 @@
         to_value(&Leaving {
             names: names.to_vec(),
             gone,
+            ..Leaving::default()
         })
     };
     w.put(key.clone(), leaving(&names, false));
@@ -448,3 +449,38 @@
     let late = not_expected(&w.view, at);
     assert!(late.len() == 1 && late.contains(&names[1]));
 }
+
+/// When a zone falls its machines are given up with one write, and only by who drives them: one that was
+/// cut off may have such a write delivered when a newer owner has long heard the machines again.
+#[test]
+fn machines_given_up_go_together_unless_their_owner_was_deposed() {
+    let mut w = World::new(&[(false, false); 40]);
+    let names: Vec<HostId> = w.view.hosts.keys().take(30).cloned().collect();
+    let holds = |w: &World, t: &Txn| t.guards.iter().all(|g| w.view.stamp(&g.path) == g.stamp);
+    let late = give_up(&w.view, "n-1-lost-1", names.clone());
+    assert_eq!(late.then.len(), 1);
+    let part = keys::part(part_of(&names[7]));
+    let newer = Part {
+        owner: "m".into(),
+        lease: 2,
+        term: 2,
+    };
+    w.put(part, to_value(&newer));
+    assert!(!holds(&w, &late), "its owner was deposed");
+    let t = give_up(&w.view, "n-1-lost-2", names.clone());
+    assert!(holds(&w, &t));
+    w.apply(&t);
+    let state = |w: &World, id: &HostId| w.view.hosts.get(id).map(|h| h.state);
+    assert!(
+        names
+            .iter()
+            .all(|id| state(&w, id) == Some(HostState::Returning))
+    );
+    let gone = Leaving {
+        names: names.clone(),
+        gone: true,
+        lost: true,
+    };
+    w.put(keys::leaving("n-1-lost-2"), to_value(&gone));
+    assert_eq!(w.view.hosts.len(), 10);
+}
