--- /dev/null
+++ b/tests/control.rs
@@ -0,0 +1,129 @@
+//! What a pass writes: never more than the budget of changes takes, the most urgent first.
+
+mod common;
+
+use common::{LIMITS, spec};
+use coppergw::control::decide::{Pass, Rounds};
+use coppergw::ids::HostId;
+use coppergw::jobs::commit::{Intent, Staged};
+use coppergw::jobs::model::{Block, JobId, Placement, Record, Slot, Spec};
+use coppergw::store::keys;
+use coppergw::store::view::View;
+use coppergw::time::SECOND;
+use coppergw::wire::to_value;
+use coppergw::wire::user::Shape;
+use foldhash::HashSet;
+use proptest::prelude::*;
+use std::collections::BTreeMap;
+
+/// A view with so many jobs that were withdrawn before they were placed, and arrays of which one task
+/// of two has left its machine.
+fn view(withdrawn: usize, running: usize) -> (View, BTreeMap<HostId, Vec<Intent>>) {
+    let mut v = View::default();
+    let mut lefts: BTreeMap<HostId, Vec<Intent>> = BTreeMap::new();
+    for k in 0..withdrawn + running {
+        let id = format!("req-{k:06}");
+        let (cancelled, slots) = if k < withdrawn {
+            (true, vec![Slot::Waiting(0); 2])
+        } else {
+            let placed = |n: usize| {
+                Slot::Placed(Placement {
+                    attempt: 1,
+                    host: format!("m-{n:06}").into(),
+                    session: 1,
+                    stop: None,
+                })
+            };
+            let left = Intent::Left {
+                job: id.as_str().into(),
+                index: 0,
+                attempt: 1,
+                done: true,
+            };
+            lefts
+                .entry(format!("m-{k:06}").into())
+                .or_default()
+                .push(left);
+            (false, vec![placed(k), placed(k + 1)])
+        };
+        let s = Spec {
+            cancelled,
+            ..spec(Shape::Array, 2)
+        };
+        v.put(
+            &keys::job(&id),
+            &to_value(&Record(s, Block(slots))),
+            k as u64 + 1,
+        );
+    }
+    (v, lefts)
+}
+
+fn jobs(staged: &[Staged]) -> Vec<JobId> {
+    staged.iter().flat_map(|s| s.jobs.clone()).collect()
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 48, failure_persistence: None, rng_seed: proptest::test_runner::RngSeed::Fixed(31), ..ProptestConfig::default() })]
+
+    /// A debt of changes keeps users waiting for their answers: a pass adds one transaction to it at
+    /// the most, and bookkeeping none. What was left out comes later, each job once.
+    #[test]
+    fn a_pass_keeps_to_the_budget_and_gets_through(
+        withdrawn in 0usize..60,
+        running in 0usize..40,
+        level in -10.0f64..30.0,
+    ) {
+        const BURST: f64 = 30.0;
+        let (v, lefts) = view(withdrawn, running);
+        let mut rounds = Rounds::default();
+        let mut busy: HashSet<JobId> = HashSet::default();
+        let mut written = 0;
+        for round in 0..60u64 {
+            let level = if round == 0 { level } else { BURST };
+            let staged = rounds.decide(&Pass {
+                view: &v,
+                lefts: &lefts,
+                busy: &busy,
+                budget: (level, BURST),
+                limits: LIMITS,
+                capped: &|_| false,
+                plan: &|_, _, _| Vec::new(),
+                now: (100 + round) * SECOND,
+            });
+            let changes: usize = staged.iter().map(|s| s.txn.then.len()).sum();
+            prop_assert!(changes as f64 <= level.max(0.0) + LIMITS.merge as f64);
+            prop_assert!(level >= 0.0 || changes == 0);
+            let done = jobs(&staged);
+            written += done.len();
+            for j in done {
+                prop_assert!(busy.insert(j), "a job under way is staged again");
+            }
+        }
+        prop_assert_eq!(written, withdrawn + running);
+    }
+}
+
+/// Ends, for which others wait, come before what only its owner needs to know.
+#[test]
+fn ends_come_before_bookkeeping() {
+    let (v, lefts) = view(4, 4);
+    let mut rounds = Rounds::default();
+    let mut at = |now, budget| {
+        rounds.decide(&Pass {
+            view: &v,
+            lefts: &lefts,
+            busy: &HashSet::default(),
+            budget,
+            limits: LIMITS,
+            capped: &|_| false,
+            plan: &|_, _, _| Vec::new(),
+            now,
+        })
+    };
+    at(100 * SECOND, (-1.0, 30.0));
+    // Long known by now, and still not at the expense of what comes first.
+    let staged = jobs(&at(110 * SECOND, (2.0, 30.0)));
+    assert_eq!(staged.len(), 4);
+    assert!(staged.iter().all(|j| v.jobs[j].cancelled()));
+}
