--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -23,7 +23,7 @@
 
 /// Pause between two control passes: at least this, and this many times what the pass took, so that
 /// reports and users are answered while there is much to decide.
-const PASS: Micros = 20 * MILLI;
+const PASS: Micros = 40 * MILLI;
 const PASS_REST: u64 = 4;
 /// A control pass at least this often.
 const IDLE_PASS: Micros = SECOND / 5;
