Read once more: waiting jobs from the index, one guard, one mark, the check in the tests

What the fleet's changes wrote again or left in the wrong place: each pass went through all jobs twice to see whether gangs or services wait, although the index holds those that do; the write of a leaving key stood in two places and the condition of a key in eight; the view handed itself out to be changed for one field; the index worked out afresh was in the program for the tests alone; the wire's name of a reason was spelled in two modules; two tests had their own copy of the shared limits and job. Behaviour stays as it is.

--- a/crates/base/src/wire/mod.rs
+++ b/crates/base/src/wire/mod.rs
@@ -10,7 +10,7 @@
 pub mod worker;
 
 use ciborium::Value;
-use serde::{Serialize, de::DeserializeOwned};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 /// The largest request body, and the largest answer to a user or a worker.
 pub const MAX_BODY: usize = 64 * 1024;
@@ -32,6 +32,13 @@
     Status(u16),
 }
 
+/// Why something was refused for good, in plain words for a person.
+#[derive(Debug, Deserialize, Serialize)]
+pub struct Refused {
+    /// The reason.
+    pub error: String,
+}
+
 /// Writes a value as CBOR.
 pub fn encode<T: Serialize>(v: &T) -> Vec<u8> {
     let mut out = Vec::with_capacity(256);
--- a/crates/base/src/wire/server.rs
+++ b/crates/base/src/wire/server.rs
@@ -52,7 +52,8 @@
     }
     /// A refusal, with the reason in plain words.
     pub fn refusal(status: u16, why: &str) -> Reply {
-        Reply::with(status, &std::collections::BTreeMap::from([("error", why)]))
+        let error = why.to_string();
+        Reply::with(status, &super::Refused { error })
     }
     /// Not now: come back in so many seconds.
     pub fn later(status: u16, seconds: u64) -> Reply {
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -6,7 +6,7 @@
 use crate::settings::Settings;
 use crate::time::SECOND;
 use crate::wire::client::{Answer, Client};
-use crate::wire::{decode, encode};
+use crate::wire::{Refused, decode, encode};
 use async_executor::LocalExecutor;
 use ciborium::Value;
 use clap::{Parser, Subcommand};
@@ -211,21 +211,17 @@
     let res = async_io::block_on(http.call(node, method, path, body, 5 * SECOND));
     match res {
         Ok(Answer { status, body }) => {
-            let value = decode::<Value>(&body).ok();
-            let why = |v: &Value| {
-                let field = v
-                    .as_map()?
-                    .iter()
-                    .find(|(k, _)| k.as_text() == Some("error"));
-                field?.1.as_text().map(str::to_string)
+            let shown = || {
+                let v = decode::<Value>(&body).ok()?;
+                serde_json::to_string_pretty(&v).ok()
             };
-            let reason = value.as_ref().and_then(why);
-            let shown = value.and_then(|v| serde_json::to_string_pretty(&v).ok());
             if (200..300).contains(&status) {
-                println!("{}", shown.unwrap_or_default());
+                println!("{}", shown().unwrap_or_default());
                 ExitCode::SUCCESS
             } else {
-                let said = reason.or(shown).unwrap_or_else(|| meaning(status).into());
+                let reason = decode::<Refused>(&body).ok().map(|r| r.error);
+                let said = reason.or_else(shown);
+                let said = said.unwrap_or_else(|| meaning(status).into());
                 fail(format!("status {status}: {said}"), 1)
             }
         }
--- a/src/control/decide.rs
+++ b/src/control/decide.rs
@@ -27,6 +27,7 @@
 /// for services and acceptances, bookkeeping also for arrays. Ends of jobs leave none: with 15 % kept
 /// back they starved while changes were short, and the next steps of pipelines with them.
 const KEEP_ARRAYS: f64 = 0.25;
+/// See `KEEP_ARRAYS`.
 pub const KEEP_BOOKS: f64 = 0.5;
 
 /// How long it can wait until what is known of a job's attempts is written.
@@ -107,8 +108,7 @@
         let since = &mut self.left_since;
         since.retain(|j, _| by_job.contains_key(j));
         // Ends of jobs and exits that were asked for, those that others wait for and the longest known
-        // first: what is left out for want
-        // of writes must not be the same jobs each time.
+        // first: what is left out for want of writes must not be the same jobs each time.
         let mut ends: Vec<(Micros, &JobId)> = Vec::new();
         let mut books: Vec<(Micros, &JobId)> = Vec::new();
         for (id, list) in &by_job {
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -95,7 +95,7 @@
         let terms = self.terms(&self.feed.view());
         let full = now.saturating_sub(self.control.swept.get()) >= self.control.sweep_every.get();
         let mut dirty = self.fleet.take_dirty();
-        dirty.extend(std::mem::take(&mut self.feed.view_mut().touched));
+        dirty.extend(self.feed.take_touched());
         let mut staged: Vec<Staged> = Vec::new();
         {
             let view = self.feed.view();
@@ -206,16 +206,15 @@
             return Vec::new();
         }
         let machines = self.fleet.machines();
-        let mine = |h: &str| terms[part_of(h) as usize].is_some();
+        // Jobs belong to parts as machines do.
+        let mine = |name: &str| terms[part_of(name) as usize].is_some();
         let gangs = steps && terms[GANGS as usize].is_some();
-        let waits = gangs
-            && view
-                .jobs
-                .values()
-                .any(|j| j.spec.kind == Shape::Gang && j.queued() > 0);
-        let serves = view.jobs.iter().any(|(id, j)| {
-            j.spec.kind == Shape::Service && j.queued() > 0 && terms[part_of(id) as usize].is_some()
-        });
+        let queued = |kind| {
+            let jobs = view.waiting().filter(move |(_, j)| j.spec.kind == kind);
+            jobs.filter(|(_, j)| j.queued() > 0)
+        };
+        let waits = gangs && queued(Shape::Gang).next().is_some();
+        let serves = queued(Shape::Service).any(|(id, _)| mine(id));
         let open = |id: &HostId, h: &Host| {
             if !matches!(h.state, HostState::Up | HostState::Booting) {
                 return None;
@@ -243,7 +242,6 @@
                 }
             }
         };
-        let home = |j: &str| terms[part_of(j) as usize].is_some();
         let held_back = |j: &str| {
             if self.fleet.backs_off(j, now) {
                 return true;
@@ -251,7 +249,7 @@
             let Some(job) = view.jobs.get(j) else {
                 return true;
             };
-            if home(j) || job.spec.kind == Shape::Gang {
+            if mine(j) || job.spec.kind == Shape::Gang {
                 return false;
             }
             let alive = view.parts.get(&part_of(j)).is_some_and(|p| {
@@ -275,7 +273,7 @@
             open: &open,
             freed,
             held_back: &held_back,
-            home: &home,
+            home: &mine,
             mine: &mine,
             gangs,
             arrays,
--- a/src/hosts/lead.rs
+++ b/src/hosts/lead.rs
@@ -1,7 +1,7 @@
 //! The leader's loop: machine types, list, rentals, returns.
 
 use super::model::{Charter, Host, HostState, Leaving};
-use super::{Outlook, decide, not_expected, put_host};
+use super::{Outlook, decide, mark_leaving, not_expected, put_host};
 use crate::ids::HostId;
 use crate::node::Node;
 use crate::placement::{self, Open, Scene};
@@ -438,28 +438,14 @@
                 continue;
             }
             mem.charter_no += 1;
-            let key = keys::leaving(&self.charter_name(mem.charter_no));
+            let name = self.charter_name(mem.charter_no);
             let count = names.len();
-            let t = Txn {
-                guards: vec![
-                    Guard {
-                        path: key.clone(),
-                        stamp: 0,
-                    },
-                    Guard {
-                        path: keys::LEADER.into(),
-                        stamp: self.feed.view().stamp(keys::LEADER),
-                    },
-                ],
-                then: vec![Change::Put {
-                    put: key,
-                    v: to_value(&Leaving {
-                        names,
-                        ..Leaving::default()
-                    }),
-                    permit: None,
-                }],
+            let l = Leaving {
+                names,
+                ..Leaving::default()
             };
+            let held = vec![keys::LEADER.into()];
+            let t = mark_leaving(&self.feed.view(), &name, &l, held);
             if let Outcome::Done(_) = self.feed.txn(&t).await {
                 tracing::info!(machines = count, "returning");
             }
@@ -529,19 +515,17 @@
 
     /// Writes what the cloud's answer means for a key, or deletes it, if it is as the view has it.
     async fn conclude(&self, key: String, value: Option<ciborium::Value>) {
-        let stamp = self.feed.view().stamp(&key);
+        let guards = vec![self.feed.view().guard(key.as_str())];
         let change = match value {
             Some(v) => Change::Put {
-                put: key.clone(),
+                put: key,
                 v,
                 permit: None,
             },
-            None => Change::Delete {
-                remove: key.clone(),
-            },
+            None => Change::Delete { remove: key },
         };
         let t = Txn {
-            guards: vec![Guard { path: key, stamp }],
+            guards,
             then: vec![change],
         };
         if !matches!(self.feed.txn(&t).await, Outcome::Done(_)) {
@@ -581,10 +565,7 @@
                         path: keys::charter(name),
                         stamp: 0,
                     },
-                    Guard {
-                        path: keys::LEADER.into(),
-                        stamp: view.stamp(keys::LEADER),
-                    },
+                    view.guard(keys::LEADER),
                 ],
                 then: vec![Change::Put {
                     put: keys::charter(name),
@@ -775,10 +756,7 @@
         .find_map(|(name, c)| {
             let key = keys::charter(name);
             let mut t = Txn {
-                guards: vec![Guard {
-                    stamp: v.stamp(&key),
-                    path: key.clone(),
-                }],
+                guards: vec![v.guard(key.as_str())],
                 then: Vec::new(),
             };
             let mut rest = Vec::new();
--- a/src/hosts/mod.rs
+++ b/src/hosts/mod.rs
@@ -19,7 +19,7 @@
 use crate::wire::user::{Rank, Shape};
 use foldhash::{HashMap, HashMapExt, HashSet};
 use model::{Charter, Host, HostState, Leaving};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// What the leader decides on.
 pub struct Outlook<'a> {
@@ -334,10 +334,7 @@
 /// Adds the write of a machine's key to a transaction, on condition that it is as the view has it.
 pub fn put_host(t: &mut Txn, view: &View, id: &str, h: &Host) {
     let key = keys::host(id);
-    t.guards.push(Guard {
-        stamp: view.stamp(&key),
-        path: key.clone(),
-    });
+    t.guards.push(view.guard(key.as_str()));
     t.then.push(Change::Put {
         put: key,
         v: to_value(h),
@@ -345,34 +342,38 @@
     });
 }
 
-/// The write that gives machines up, many at a time: when a zone falls, a write for each would take all
-/// changes for seconds, while what ran there waits to be placed again. It holds only as long as the
-/// terms of their parts do: a controller that was cut off may have it delivered a minute later.
-pub fn give_up(view: &View, name: &str, names: Vec<HostId>) -> Txn {
+/// The write that names machines as on their way back, on condition that some keys are as the view has
+/// them. `name` is new each time.
+pub fn mark_leaving(view: &View, name: &str, l: &Leaving, held: Vec<String>) -> Txn {
     let key = keys::leaving(name);
-    let mut parts: Vec<u32> = names.iter().map(|id| part_of(id)).collect();
-    parts.sort_unstable();
-    parts.dedup();
-    let guard = |path: String| Guard {
-        stamp: view.stamp(&path),
-        path,
-    };
-    let mut guards = vec![guard(key.clone())];
-    guards.extend(parts.into_iter().map(|p| guard(keys::part(p))));
+    let mut guards = vec![Guard {
+        path: key.clone(),
+        stamp: 0,
+    }];
+    guards.extend(held.into_iter().map(|k| view.guard(k)));
     Txn {
         guards,
         then: vec![Change::Put {
             put: key,
-            v: to_value(&Leaving {
-                names,
-                gone: false,
-                lost: true,
-            }),
+            v: to_value(l),
             permit: None,
         }],
     }
 }
 
+/// The write that gives machines up, many at a time: when a zone falls, a write for each would take all
+/// changes for seconds, while what ran there waits to be placed again. It holds only as long as the
+/// terms of their parts do: a controller that was cut off may have it delivered a minute later.
+pub fn give_up(view: &View, name: &str, names: Vec<HostId>) -> Txn {
+    let parts: BTreeSet<u32> = names.iter().map(|id| part_of(id)).collect();
+    let l = Leaving {
+        names,
+        gone: false,
+        lost: true,
+    };
+    mark_leaving(view, name, &l, parts.into_iter().map(keys::part).collect())
+}
+
 /// Decides.
 pub fn decide(o: &Outlook<'_>) -> Decision {
     let mut out = Decision::default();
--- a/src/jobs/commit.rs
+++ b/src/jobs/commit.rs
@@ -633,10 +633,6 @@
         }
         spec.needs.keys = extra.len() as u32;
     }
-    let guard = |path: &str| Guard {
-        path: path.to_string(),
-        stamp: view.stamp(path),
-    };
     // An earlier try may have written others: some jobs were not done then.
     let missing: Vec<&(String, Ids)> = extra
         .iter()
@@ -649,7 +645,7 @@
             missing
                 .chunks(limits.ops)
                 .map(|chunk| Txn {
-                    guards: chunk.iter().map(|(k, _)| guard(k)).collect(),
+                    guards: chunk.iter().map(|(k, _)| view.guard(k.as_str())).collect(),
                     then: chunk.iter().map(|(k, l)| put(k.clone(), l)).collect(),
                 })
                 .collect(),
@@ -657,7 +653,7 @@
     }
     let none = |path: String| Guard { path, stamp: 0 };
     let mut guards = vec![none(keys::job(id)), none(keys::fin(id))];
-    guards.extend(extra.iter().map(|(k, _)| guard(k)));
+    guards.extend(extra.iter().map(|(k, _)| view.guard(k.as_str())));
     (guards.len() <= limits.guards()).then(|| {
         vec![Txn {
             guards,
@@ -675,10 +671,7 @@
     let mut t = Txn::default();
     let mut seen = BTreeSet::new();
     for (id, key) in view.orphans().into_iter().take(limits.ops) {
-        t.guards.push(Guard {
-            path: key.clone(),
-            stamp: view.stamp(&key),
-        });
+        t.guards.push(view.guard(key.as_str()));
         if seen.insert(id.clone()) {
             t.guards.push(Guard {
                 path: keys::job(&id),
--- a/src/members/keep.rs
+++ b/src/members/keep.rs
@@ -248,10 +248,7 @@
         let mut raise = self.members.raise.borrow_mut();
         let member = keys::member(self.me());
         let mut t = Txn {
-            guards: vec![Guard {
-                stamp: v.stamp(&member),
-                path: member,
-            }],
+            guards: vec![v.guard(member.as_str())],
             then: Vec::new(),
         };
         for n in 0..PARTS {
@@ -330,10 +327,7 @@
                 _ => {}
             }
             Txn {
-                guards: vec![Guard {
-                    path: keys::LEADER.into(),
-                    stamp: v.stamp(keys::LEADER),
-                }],
+                guards: vec![v.guard(keys::LEADER)],
                 then: vec![Change::Put {
                     put: keys::LEADER.into(),
                     v: to_value(&Leader {
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -241,11 +241,7 @@
         let u = usage.entry(team).or_default();
         (u.cpus, u.gpus, u.wanted_cpus, u.wanted_gpus) = (r.cpus, r.gpus, r.cpus, r.gpus);
     }
-    let waiting = || {
-        let ids = v.index().waiting.iter();
-        ids.filter_map(|id| Some((id, v.jobs.get(id)?)))
-    };
-    for (_, j) in waiting() {
+    for (_, j) in v.waiting() {
         let r = &j.spec.room;
         // What waits for other jobs holds no part of its team's guarantee or limit.
         if j.ready {
@@ -275,7 +271,7 @@
         tidy(s, &mut out.intents);
     }
     let mut queue: Vec<Entry<'_>> = Vec::new();
-    for (id, job) in waiting() {
+    for (id, job) in v.waiting() {
         let kind = job.spec.kind;
         let queued = if s.forecast {
             v.queued_soon(job)
--- a/src/store/feed.rs
+++ b/src/store/feed.rs
@@ -3,6 +3,7 @@
 use super::client::{Outcome, StoreClient};
 use super::keys;
 use super::view::View;
+use crate::ids::HostId;
 use crate::jobs::model::{Final, JobId};
 use crate::time::{Clock, MILLI, Micros, SECOND, dur};
 use crate::wire::WireError;
@@ -10,7 +11,7 @@
 use async_io::Timer;
 use event_listener::{Event as Wake, EventListener};
 use foldhash::{HashSet, HashSetExt};
-use std::cell::{Cell, Ref, RefCell, RefMut};
+use std::cell::{Cell, Ref, RefCell};
 
 /// Pause between two reads of the watch: every write would otherwise cost each node a request.
 const WATCH_PAUSE: Micros = 40 * MILLI;
@@ -47,7 +48,7 @@
 
 /// Says once that the state service is away, then now and then for how long, and when it is back.
 #[derive(Default)]
-pub struct Away {
+struct Away {
     since: Option<Micros>,
     told: Micros,
 }
@@ -57,7 +58,7 @@
 
 impl Away {
     /// What to log about a failure, if anything.
-    pub fn failed(&mut self, now: Micros, why: &dyn std::fmt::Display) -> Option<String> {
+    fn failed(&mut self, now: Micros, why: &dyn std::fmt::Display) -> Option<String> {
         let Some(since) = self.since else {
             (self.since, self.told) = (Some(now), now);
             return Some(format!("state service: {why}"));
@@ -70,7 +71,7 @@
         Some(format!("state service: away for {s} s: {why}"))
     }
     /// What to log about an answer, if anything.
-    pub fn answered(&mut self, now: Micros) -> Option<String> {
+    fn answered(&mut self, now: Micros) -> Option<String> {
         let since = self.since.take()?;
         let s = now.saturating_sub(since) as f64 / 1e6;
         Some(format!("state service: back after {s:.1} s"))
@@ -116,9 +117,9 @@
         self.view.borrow()
     }
 
-    /// The same, to change what is kept beside the keys.
-    pub fn view_mut(&self) -> RefMut<'_, View> {
-        self.view.borrow_mut()
+    /// Machines whose key or tasks changed since this was asked last.
+    pub fn take_touched(&self) -> HashSet<HostId> {
+        std::mem::take(&mut self.view.borrow_mut().touched)
     }
 
     /// The client, for leases and budgets.
--- a/src/store/view.rs
+++ b/src/store/view.rs
@@ -13,6 +13,7 @@
 use crate::time::{Micros, SECOND};
 use crate::wire::cloud::MachineType;
 use crate::wire::from_value;
+use crate::wire::state::Guard;
 use crate::wire::user::Rank;
 use ciborium::Value;
 use foldhash::{HashMap, HashSet, HashSetExt};
@@ -103,7 +104,7 @@
 }
 
 /// What decisions look up instead of going through all jobs and machines. Kept as these change, and
-/// equal at any time to what going through all of them would give (`tests/grown.rs`).
+/// equal at any time to what going through all of them would give (`tests/common`).
 #[derive(Default, Debug, PartialEq)]
 pub struct Index {
     /// Jobs with tasks that wait, whether they may start or not.
@@ -194,6 +195,15 @@
         self.stamps.get(key).copied().unwrap_or(0)
     }
 
+    /// The condition that a key is as the view has it.
+    pub fn guard(&self, path: impl Into<String>) -> Guard {
+        let path = path.into();
+        Guard {
+            stamp: self.stamp(&path),
+            path,
+        }
+    }
+
     /// Whether a key is known to have been deleted.
     pub fn deleted(&self, key: &str) -> bool {
         let gone = |id: &str| self.left.get(id) == Some(&true);
@@ -907,6 +917,12 @@
         }
     }
 
+    /// Jobs with tasks that wait, whether they may start or not.
+    pub fn waiting(&self) -> impl Iterator<Item = (&JobId, &Job)> {
+        let ids = self.index.waiting.iter();
+        ids.filter_map(|id| Some((id, self.jobs.get(id)?)))
+    }
+
     /// CPUs that are free on a machine.
     pub fn free_cpus(&self, id: &HostId) -> Option<i64> {
         self.free_of.get(id).copied()
@@ -917,37 +933,6 @@
         &self.index
     }
 
-    /// The index as going through everything gives it.
-    pub fn index_afresh(&self) -> Index {
-        let mut out = Index::default();
-        for (id, j) in &self.jobs {
-            set(&mut out.waiting, id, j.waiting > 0);
-            set(&mut out.over, id, j.over());
-            let r = &j.spec.room;
-            if r.gpus > 0 {
-                *out.gpu_rooms.entry(r.amounts()).or_default() += 1;
-            }
-            for _ in 0..j.placed {
-                out.teams.entry(j.spec.team.clone()).or_default().give(r);
-            }
-        }
-        out.teams.retain(|_, r| *r != Room::default());
-        for (id, h) in &self.hosts {
-            let leaves = matches!(h.state, HostState::Draining | HostState::Closing);
-            set(&mut out.leaving, id, leaves);
-            if let Some(t) = self.types.get(&h.kind) {
-                let mut free = Room::of(t);
-                for (job, _) in self.tasks_on(id).into_iter().flat_map(|t| t.keys()) {
-                    if let Some(j) = self.jobs.get(job) {
-                        free.take(&j.spec.room);
-                    }
-                }
-                out.free.insert((free.cpus, id.clone()));
-            }
-        }
-        out
-    }
-
     /// Keeps a final state at hand.
     pub fn remember(&mut self, id: &JobId, f: Final) {
         if let Some(d) = self.dependents.get(id) {
--- a/src/workers/drive.rs
+++ b/src/workers/drive.rs
@@ -12,7 +12,7 @@
 use crate::store::view::View;
 use crate::time::{Micros, SECOND, from_secs, wall};
 use crate::wire::server::Reply;
-use crate::wire::state::{Guard, Txn};
+use crate::wire::state::Txn;
 use crate::wire::worker::{ORDERS, Order, Orders, Redirect, Report, TaskStatus};
 use crate::wire::{decode, encode};
 use foldhash::{HashMap, HashSet};
@@ -394,11 +394,8 @@
         let mut lost = Vec::new();
         {
             let view = self.feed.view();
-            let most = if self.limits().layout {
-                self.per_charter()
-            } else {
-                0
-            };
+            // So many are given up with one write, once every controller reads it.
+            let most = self.limits().layout.then(|| self.per_charter());
             let alone = self.alone(&view, now);
             let machines = self.fleet.machines.borrow();
             let (level, burst) = self.feed.client().write_level();
@@ -408,12 +405,13 @@
             let mut ups = 0;
             let busy = self.fleet.busy_hosts.borrow();
             for (id, m) in machines.iter() {
-                if busy.contains(id) || t.then.len() >= ops || (most > 0 && lost.len() >= most) {
+                if busy.contains(id) || t.then.len() >= ops || most.is_some_and(|n| lost.len() >= n)
+                {
                     continue;
                 }
                 let have = view.hosts.get(id);
                 if let Some(w) = self.wanted_host(id, m, have, now, alone) {
-                    if w.state == HostState::Lost && have.is_some() && most > 0 {
+                    if w.state == HostState::Lost && have.is_some() && most.is_some() {
                         lost.push(id.clone());
                         continue;
                     }
@@ -436,10 +434,7 @@
                     let part = keys::part(part_of(id));
                     put_host(&mut t, &view, id, &w);
                     if !t.guards.iter().any(|g| g.path == part) {
-                        t.guards.push(Guard {
-                            stamp: view.stamp(&part),
-                            path: part,
-                        });
+                        t.guards.push(view.guard(part));
                     }
                     ids.push(id.clone());
                 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,9 +1,10 @@
 //! What the tests share: a job, a machine type, limits and a state service of their own.
 #![allow(dead_code)]
 
+use coppergw::hosts::model::HostState;
 use coppergw::jobs::commit::Limits;
 use coppergw::jobs::model::{Load, Room, Spec};
-use coppergw::store::view::View;
+use coppergw::store::view::{Index, View};
 use coppergw::time::SECOND;
 use coppergw::wire::cloud::MachineType;
 use coppergw::wire::state::{Change, Guard, Txn};
@@ -115,10 +116,44 @@
     }
 }
 
+/// The index as going through all jobs and machines gives it.
+fn index_afresh(v: &View) -> Index {
+    let mut out = Index::default();
+    for (id, j) in &v.jobs {
+        if j.waiting > 0 {
+            out.waiting.insert(id.clone());
+        }
+        if (j.cancelled() && j.placed == 0) || j.done == j.spec.tasks {
+            out.over.insert(id.clone());
+        }
+        let r = &j.spec.room;
+        if r.gpus > 0 {
+            *out.gpu_rooms.entry(r.amounts()).or_default() += 1;
+        }
+        for _ in 0..j.placed {
+            out.teams.entry(j.spec.team.clone()).or_default().give(r);
+        }
+    }
+    out.teams.retain(|_, r| *r != Room::default());
+    for (id, h) in &v.hosts {
+        if matches!(h.state, HostState::Draining | HostState::Closing) {
+            out.leaving.insert(id.clone());
+        }
+        if let Some(t) = v.types.get(&h.kind) {
+            let mut free = Room::of(t);
+            for (job, _) in v.tasks_on(id).into_iter().flat_map(|t| t.keys()) {
+                free.take(&v.jobs[job].spec.room);
+            }
+            out.free.insert((free.cpus, id.clone()));
+        }
+    }
+    out
+}
+
 /// What the view keeps for look-ups equals what going through all jobs and machines gives. A plan that
 /// misses a machine or a job would leave it out without a word.
 pub fn indexed(v: &View) {
-    assert_eq!(*v.index(), v.index_afresh());
+    assert_eq!(*v.index(), index_afresh(v));
     for (host, tasks) in &v.on_host {
         let mut load = Load::default();
         for (job, _) in tasks.keys() {
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -306,30 +306,16 @@
         put(&mut v, keys::host(id), to_value(&host(HostState::Up)));
     }
     let spec = Spec {
-        class: "c".into(),
         team: "free".into(),
-        kind: Shape::Gang,
-        rank: Rank::Normal,
-        tasks: 2,
         room: Room {
             cpus: 3000,
             gpus: 0,
             memory: 1000,
         },
-        image: "i".into(),
-        image_size: 1,
-        types: None,
-        zone: None,
         one_zone: true,
-        spread: false,
-        spot: true,
-        estimate: 10 * SECOND,
         checkpoint: 5 * SECOND,
         save: 2 * SECOND,
-        deadline: None,
-        submitted: 1,
-        cancelled: false,
-        needs: Default::default(),
+        ..common::spec(Shape::Gang, 2)
     };
     put(&mut v, keys::job("req-1"), record(&spec));
     let changes = |v: &View, intents: &[Intent]| {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -4,10 +4,10 @@
 
 mod common;
 
-use common::Store;
+use common::{LIMITS, Store};
 use coppergw::hosts::model::{Host, HostState};
 use coppergw::ids::HostId;
-use coppergw::jobs::commit::{Intent, Limits, stage};
+use coppergw::jobs::commit::{Intent, stage};
 use coppergw::jobs::model::{Block, JobId, Record, Room, Slot, Spec};
 use coppergw::members::{Member, PARTS, Part, assign, part_of};
 use coppergw::placement::{Open, Scene, plan};
@@ -284,15 +284,6 @@
             forecast: false,
         });
         intents.extend(p.intents);
-        let limits = Limits {
-            ops: 16,
-            merge: 16,
-            bytes: 48_000,
-            value: 32_000,
-            layout: false,
-            packed: false,
-            wall: 0,
-        };
         let mut sessions = Vec::new();
         for (id, m) in &node.machines {
             if let Some(h) = node.view.hosts.get(id)
@@ -320,7 +311,7 @@
                 });
             }
         }
-        let staged = stage(&node.view, &intents, &HashSet::new(), &|_| false, limits);
+        let staged = stage(&node.view, &intents, &HashSet::new(), &|_| false, LIMITS);
         for t in sessions {
             self.store.apply(&t);
         }
