Forecast under limits: nothing is rented for what a team's limit keeps waiting

Cause: a job of a team at its limit with room for one more task counted as missing all its waiting tasks, and the flow took the whole backlog for work that more machines would shorten. Hundreds of machines were rented each half minute and returned.

Change: the plan tells what waits for machines from what waits for a limit, the forecast keeps one account of a team for all its jobs, and the flow counts no more of a team's work than its limit lets through in the time. Teams' account is a slice of its own (src/teams).

--- a/src/hosts/lead.rs
+++ b/src/hosts/lead.rs
@@ -173,6 +173,7 @@
                 forecast: &forecast,
                 policy: &self.policy,
                 objectives: &self.settings.objectives,
+                teams: &self.settings.teams,
                 wall,
                 refused: &is_refused,
                 idle_since: &mem.idle_since,
--- a/src/hosts/mod.rs
+++ b/src/hosts/mod.rs
@@ -5,13 +5,14 @@
 pub mod model;
 
 use crate::ids::HostId;
-use crate::jobs::model::{Room, Spec};
+use crate::jobs::model::{JobId, Room, Spec};
 use crate::members::part_of;
 use crate::placement::{self, Plan, only_guests};
 use crate::policy::Policy;
-use crate::settings::{Objective, ObjectiveKind};
+use crate::settings::{Objective, ObjectiveKind, Team};
 use crate::store::keys;
 use crate::store::view::View;
+use crate::teams;
 use crate::time::{Micros, SECOND, from_secs};
 use crate::wire::cloud::MachineType;
 use crate::wire::state::{Change, Guard, Txn};
@@ -31,6 +32,8 @@
     pub policy: &'a Policy,
     /// Aims of the classes.
     pub objectives: &'a [Objective],
+    /// Teams.
+    pub teams: &'a [Team],
     /// Time of day.
     pub wall: Micros,
     /// Whether a combination of type, zone and kind was refused just now.
@@ -80,11 +83,43 @@
     wanted: f64,
 }
 
+/// Work of one job as it should flow.
+#[derive(Clone)]
+struct Flow<'a> {
+    rank: Rank,
+    /// Seconds in which it should drain.
+    horizon: f64,
+    /// Machine seconds.
+    work: f64,
+    /// Its team, and the machines that the team's limit lets such tasks fill at once.
+    limit: Option<(&'a str, f64)>,
+}
+
+/// Work of one team with a limit: what of it gets done in a time is bounded, however much waits.
+#[derive(Default)]
+struct Bounded {
+    work: f64,
+    /// Machine seconds times machines at once: their mean is weighted by the work.
+    weight: f64,
+}
+
+impl Bounded {
+    fn add(&mut self, work: f64, machines: f64) {
+        self.work += work;
+        self.weight += work * machines;
+    }
+    fn within(&self, horizon: f64) -> f64 {
+        if self.work <= 0.0 {
+            return 0.0;
+        }
+        self.work.min(self.weight / self.work * horizon)
+    }
+}
+
 /// Batch work that the same machine types can take.
 struct Pool<'a> {
     types: Vec<&'a MachineType>,
-    /// Rank, time in which it should drain, work in machine seconds.
-    load: Vec<(Rank, f64, f64)>,
+    load: Vec<Flow<'a>>,
     /// Machines that the tasks without a place would fill.
     whole: f64,
     /// Machines of the largest gang.
@@ -261,11 +296,17 @@
         }
         let boot = self.types.iter().map(|t| t.ready_s).fold(0.0, f64::max);
         let mut load = self.load.clone();
-        load.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
-        let mut work = 0.0;
+        load.sort_by(|a, b| a.rank.cmp(&b.rank).then(a.horizon.total_cmp(&b.horizon)));
+        let mut free = 0.0;
+        let mut bounded: BTreeMap<&str, Bounded> = BTreeMap::new();
         let mut lack: f64 = 0.0;
-        for (_, h, w) in load {
-            work += w;
+        for f in load {
+            let h = f.horizon;
+            match f.limit {
+                Some((team, machines)) => bounded.entry(team).or_default().add(f.work, machines),
+                None => free += f.work,
+            }
+            let work = free + bounded.values().map(|b| b.within(h)).sum::<f64>();
             lack = lack.max((work - have * h) / (h - boot).max(h / 2.0));
         }
         lack.max(self.gang - count).clamp(0.0, self.whole)
@@ -406,12 +447,22 @@
         .iter()
         .map(|(id, n)| (&**id, *n))
         .collect();
+    let limited = |id: &JobId| o.forecast.limited.get(id).copied().unwrap_or(0);
+    // What teams' services hold of their limits is not there for anything else.
+    let mut held: HashMap<&str, Room> = HashMap::new();
+    for j in v.jobs.values().filter(|j| j.spec.kind == Shape::Service) {
+        let n = i64::from(j.placed + j.queued());
+        held.entry(&j.spec.team)
+            .or_default()
+            .give(&j.spec.room.of_tasks(n));
+    }
     for (id, j) in &v.jobs {
         let s = &j.spec;
         let lacking = unplaced.get(&**id).copied().unwrap_or(0);
         let service = s.kind == Shape::Service;
         // The next steps of a pipeline count once those before them are about to end.
         let queued = v.queued_soon(j);
+        let soon = queued.saturating_sub(limited(id));
         if queued + j.placed == 0 || j.cancelled() || (service && lacking == 0) {
             continue;
         }
@@ -443,8 +494,8 @@
         let pool = pools.entry(key).or_insert_with(|| Pool::new(types));
         let spot = placement::spot(j);
         if s.spot && !spot {
-            pool.waits += f64::from(queued) / per;
-            pool.dear += f64::from(queued) / per;
+            pool.waits += f64::from(soon) / per;
+            pool.dear += f64::from(soon) / per;
             pool.all_spot = false;
             // The forecast places a whole gang or none of it: what is free counts.
             let free: i64 = v
@@ -471,13 +522,15 @@
             }
             continue;
         }
-        pool.load.push((
-            s.rank,
-            horizon(o, s, default) as f64 / 1e6,
-            tasks * run / per,
-        ));
+        let elsewhere = held.get(&*s.team).copied().unwrap_or_default();
+        pool.load.push(Flow {
+            rank: s.rank,
+            horizon: horizon(o, s, default) as f64 / 1e6,
+            work: tasks * run / per,
+            limit: teams::at_once(o.teams, s, &elsewhere).map(|n| (&*s.team, n as f64 / per)),
+        });
         pool.whole += whole;
-        pool.waits += f64::from(queued) / per;
+        pool.waits += f64::from(soon) / per;
         if s.kind == Shape::Gang {
             pool.gang = pool.gang.max(f64::from(s.tasks) / per);
         }
@@ -660,11 +713,12 @@
     let services = o
         .view
         .jobs
-        .values()
-        .filter(|j| j.spec.kind == Shape::Service && j.ready && !j.cancelled());
+        .iter()
+        .filter(|(_, j)| j.spec.kind == Shape::Service && j.ready && !j.cancelled());
     let (mut sum, mut largest) = (0, 0);
-    for j in services {
-        sum += j.spec.room.cpus * i64::from(j.placed + j.waiting);
+    for (id, j) in services {
+        let limited = o.forecast.limited.get(id).copied().unwrap_or(0);
+        sum += j.spec.room.cpus * i64::from(j.placed + j.waiting.saturating_sub(limited));
         largest = largest.max(j.spec.room.cpus * i64::from(j.spec.tasks));
     }
     ((sum as f64 * o.policy.service_spare) as i64).max(largest)
--- a/src/jobs/model.rs
+++ b/src/jobs/model.rs
@@ -47,6 +47,14 @@
         self.gpus += need.gpus;
         self.memory += need.memory;
     }
+    /// What so many tasks take together.
+    pub fn of_tasks(&self, n: i64) -> Room {
+        Room {
+            cpus: self.cpus * n,
+            gpus: self.gpus * n,
+            memory: self.memory * n,
+        }
+    }
     /// CPUs, GPUs, memory.
     pub fn amounts(&self) -> [i64; 3] {
         [self.cpus, self.gpus, self.memory]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,4 +13,5 @@
 pub mod placement;
 pub mod policy;
 pub mod store;
+pub mod teams;
 pub mod workers;
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -13,6 +13,7 @@
 use crate::jobs::model::{JobId, Room, Slot, Spec};
 use crate::settings::{Objective, ObjectiveKind, Team};
 use crate::store::view::{Job, View};
+use crate::teams::Account;
 use crate::time::{Micros, SECOND};
 use crate::wire::user::{Rank, Shape};
 use foldhash::{HashMap, HashMapExt, HashSet, HashSetExt};
@@ -64,8 +65,10 @@
 pub struct Plan {
     /// What to change.
     pub intents: Vec<Intent>,
-    /// Tasks without a place, by job.
+    /// Tasks without a place, by job; those that their team's limit keeps waiting are not among them.
     pub unplaced: Vec<(JobId, u32)>,
+    /// Tasks that their team's limit keeps waiting, by job.
+    pub limited: HashMap<JobId, u32>,
     /// Room left on each open machine.
     pub free: BTreeMap<HostId, Room>,
 }
@@ -151,15 +154,6 @@
     waits: bool,
 }
 
-/// What a team's tasks take, and would take if all that wait ran too.
-#[derive(Default)]
-struct Usage {
-    cpus: i64,
-    gpus: i64,
-    wanted_cpus: i64,
-    wanted_gpus: i64,
-}
-
 /// Whether a machine is of a type, zone and kind that the job allows.
 pub fn allowed(spec: &Spec, h: &Host) -> bool {
     spec.types.as_ref().is_none_or(|t| t.contains(&h.kind))
@@ -231,26 +225,15 @@
     let v = s.view;
     let mut out = Plan::default();
     let elsewhere = elsewhere(v);
-    let mut usage: HashMap<&str, Usage> = HashMap::new();
+    let mut teams = Account::open(v, s.teams);
     // Leave whole machines with GPUs to those who need them: others get only what is beside that.
     let mut gpus = Gpus {
         need: Room::default(),
         waits: false,
     };
-    for (team, r) in &v.index().teams {
-        let u = usage.entry(team).or_default();
-        (u.cpus, u.gpus, u.wanted_cpus, u.wanted_gpus) = (r.cpus, r.gpus, r.cpus, r.gpus);
-    }
-    for (_, j) in v.waiting() {
-        let r = &j.spec.room;
-        // What waits for other jobs holds no part of its team's guarantee or limit.
-        if j.ready {
-            let u = usage.entry(&j.spec.team).or_default();
-            u.wanted_cpus += r.cpus * i64::from(j.waiting);
-            u.wanted_gpus += r.gpus * i64::from(j.waiting);
-        }
-        gpus.waits |= r.gpus > 0 && j.queued() > 0;
-    }
+    gpus.waits = v
+        .waiting()
+        .any(|(_, j)| j.spec.room.gpus > 0 && j.queued() > 0);
     for [cpus, g, memory] in v.index().gpu_rooms.keys() {
         gpus.need = Room {
             cpus: gpus.need.cpus.max(*cpus),
@@ -258,15 +241,6 @@
             memory: gpus.need.memory.max(*memory),
         };
     }
-    let guarantee = |team: &str| s.teams.iter().find(|t| t.name == team);
-    let entitled = |team: &str| {
-        guarantee(team).is_some_and(|t| {
-            (t.cpus > 0 || t.gpus > 0)
-                && usage
-                    .get(team)
-                    .is_some_and(|d| d.wanted_cpus <= t.cpus && d.wanted_gpus <= t.gpus)
-        })
-    };
     if !s.forecast {
         tidy(s, &mut out.intents);
     }
@@ -285,7 +259,7 @@
         {
             continue;
         }
-        let entitled = entitled(&job.spec.team);
+        let entitled = teams.entitled(&job.spec.team);
         let (rank, hopeless, order) = turn(s, job);
         let turn = (hopeless, order);
         let home = kind == Shape::Gang || (s.home)(id);
@@ -382,25 +356,24 @@
     let mut stuck: HashSet<(Kind<'_>, Rank)> = HashSet::new();
     for e in &queue {
         let spec = &e.job.spec;
-        let used = usage
-            .get(spec.team.as_str())
-            .map_or((0, 0), |u| (u.cpus, u.gpus));
-        let mut headroom = i64::MAX;
-        if let Some(t) = guarantee(&spec.team) {
-            for (max, used, need) in [
-                (t.cpus_max, used.0, spec.room.cpus),
-                (t.gpus_max, used.1, spec.room.gpus),
-            ] {
-                if max > 0 && need > 0 {
-                    headroom = headroom.min(((max - used) / need).max(0));
-                }
-            }
+        let headroom = teams.headroom(spec);
+        // What a limit keeps waiting waits for no machine.
+        let may = u32::try_from(headroom)
+            .unwrap_or(u32::MAX)
+            .min(e.count as u32);
+        if may < e.count as u32 {
+            *out.limited.entry(e.id.clone()).or_default() += e.count as u32 - may;
         }
         let mut got: Vec<Target> = Vec::new();
         let mut missing = 0u32;
         if spec.kind == Shape::Gang {
             // While part of the old attempt is still on its machines, nothing starts.
-            if e.job.waiting != spec.tasks || i64::from(spec.tasks) > headroom {
+            if e.job.waiting != spec.tasks {
+                continue;
+            }
+            if may < spec.tasks {
+                // All of it or nothing.
+                out.limited.insert(e.id.clone(), spec.tasks);
                 continue;
             }
             got = gang(v, e.job, &mut spots, &gpus, s.forecast, &mut out);
@@ -424,7 +397,7 @@
                 && (e.home || s.wall.saturating_sub(e.job.since) > OTHERS_PUSH)
                 && (spec.rank <= Rank::High || e.entitled);
             if blocked && (!pushes || stuck.contains(&(kind, spec.rank))) {
-                missing = e.count as u32;
+                missing = may;
             } else {
                 let waiting: Vec<u32> = e
                     .job
@@ -432,8 +405,7 @@
                     .filter(|(_, x)| matches!(x, Slot::Waiting(_)))
                     .map(|(i, _)| i)
                     .skip(e.from)
-                    .take(e.count.min(PER_JOB))
-                    .take(usize::try_from(headroom).unwrap_or(usize::MAX))
+                    .take((may as usize).min(PER_JOB))
                     .collect();
                 let count = waiting.len();
                 let mut rest = count;
@@ -471,7 +443,7 @@
                     }
                     rest -= run.fill(&mut spots, &order[cold..], rest);
                 }
-                missing = rest as u32 + (e.count - count) as u32;
+                missing = rest as u32 + may - count as u32;
                 if pushes && rest > 0 {
                     complete(&mut spots);
                 }
@@ -487,18 +459,16 @@
                 got = run.got;
             }
         }
-        if !got.is_empty() {
-            let u = usage.entry(spec.team.as_str()).or_default();
-            u.cpus += spec.room.cpus * got.len() as i64;
-            u.gpus += spec.room.gpus * got.len() as i64;
-            if !s.forecast {
-                out.intents.push(Intent::Place {
-                    job: e.id.clone(),
-                    tasks: got,
-                });
-            }
+        // In the forecast what has no place yet will have one: the limit is for all of it together.
+        let counted = if s.forecast { missing } else { 0 };
+        teams.start(spec, got.len() as i64 + i64::from(counted));
+        if !got.is_empty() && !s.forecast {
+            out.intents.push(Intent::Place {
+                job: e.id.clone(),
+                tasks: got,
+            });
         }
-        if missing > 0 && headroom > 0 {
+        if missing > 0 {
             out.unplaced.push((e.id.clone(), missing));
         }
     }
--- a/src/store/view.rs
+++ b/src/store/view.rs
@@ -867,11 +867,7 @@
                 self.index.teams.insert(team.clone(), Room::default());
             }
             if let Some(t) = self.index.teams.get_mut(team) {
-                t.give(&Room {
-                    cpus: r.cpus * n,
-                    gpus: r.gpus * n,
-                    memory: r.memory * n,
-                });
+                t.give(&r.of_tasks(n));
                 if *t == Room::default() {
                     self.index.teams.remove(team);
                 }
