A floor for classes that rank keeps waiting, within a limit and on a full fleet

Change: fairness::floor, a pure function: classes of a scope compared by their fraction of pending work; a class with an overdue job gets a quarter of what runs, less what it runs already, ahead of other arrays, the longest waiting jobs first. Scopes are teams whose limit binds, and everybody else. Tests: an endless backlog, generated classes.

--- /dev/null
+++ b/src/fairness/floor.rs
@@ -0,0 +1,141 @@
+//! A floor for classes that rank keeps waiting. Rank is a strong preference, and not starvation without
+//! end: where a class of higher rank always has work for all the room there is (a team at its limit, a
+//! full fleet), a lower one would never get a turn.
+//!
+//! In the spirit of the paper's method: classes are compared by their fraction of pending work, waiting
+//! tasks are raised, running ones are not touched.
+
+use crate::settings::Objective;
+use crate::time::Micros;
+use crate::wire::user::Rank;
+
+/// Of the room in which the arrays of a scope run, all starved classes together get this share.
+pub const SHARE: f64 = 0.25;
+/// A job is overdue after this share of the widest aim of its class: it could still meet that.
+const PATIENCE: f64 = 0.3;
+
+/// The arrays of one class within one scope: the team whose limit binds, or everybody else. CPUs in
+/// thousandths.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Standing {
+    /// Rank of the class.
+    pub rank: Rank,
+    /// Q: what its waiting tasks would take.
+    pub waiting: i64,
+    /// R: what its running tasks take.
+    pub running: i64,
+    /// Whether one of its jobs has waited longer than `patience`.
+    pub overdue: bool,
+}
+
+impl Standing {
+    /// w of equation 3 with T and P of 1: the fraction of its work that is pending.
+    fn pending(&self) -> f64 {
+        let all = self.waiting + self.running;
+        if all > 0 {
+            self.waiting as f64 / all as f64
+        } else {
+            0.0
+        }
+    }
+}
+
+/// How long a job of a class may wait before its class counts as starved.
+pub fn patience(objectives: &[Objective], class: &str, default: Micros) -> Micros {
+    let aims = objectives.iter().filter(|o| o.class == class);
+    let widest = aims.map(|o| o.within).max();
+    widest.map_or(default, |w| (w as f64 * PATIENCE) as Micros)
+}
+
+/// For each class the CPUs that its waiting tasks may take now as if they had the highest rank among
+/// arrays. A class is starved if a job of it is overdue and one of higher rank has less of its work
+/// pending. All starved classes together get `SHARE` of what runs, less what they run already: whoever
+/// runs that much gets nothing ahead of its rank.
+pub fn floor(list: &[Standing]) -> Vec<i64> {
+    let starved = |s: &Standing| {
+        let mut higher = list.iter().filter(|h| h.rank < s.rank && h.running > 0);
+        s.overdue && s.waiting > 0 && higher.any(|h| h.pending() < s.pending())
+    };
+    let running: i64 = list.iter().map(|s| s.running).sum();
+    let n = list.iter().filter(|s| starved(s)).count().max(1) as i64;
+    let each = (running as f64 * SHARE) as i64 / n;
+    list.iter()
+        .map(|s| match starved(s) {
+            true => (each - s.running).clamp(0, s.waiting),
+            false => 0,
+        })
+        .collect()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    fn class(rank: Rank, waiting: i64, running: i64, overdue: bool) -> Standing {
+        Standing {
+            rank,
+            waiting,
+            running,
+            overdue,
+        }
+    }
+
+    /// A scope of 100 CPUs in which every task runs one step, and normal work has always more waiting
+    /// than fits: low work gets its quarter and no more, and only once it is overdue.
+    #[test]
+    fn an_endless_backlog_of_higher_rank_leaves_a_quarter() {
+        let mut got = 0;
+        let (mut normal, mut low) = (100, 0);
+        for step in 0..40 {
+            let overdue = step >= 10;
+            let list = [
+                class(Rank::Normal, 500, normal, false),
+                class(Rank::Low, 300, low, overdue),
+            ];
+            let f = floor(&list);
+            assert_eq!(f[0], 0);
+            assert!(overdue || f[1] == 0);
+            // A tenth of what runs ends in each step; the floor goes first, then rank.
+            let (n, l) = (normal / 10, low / 10);
+            let freed = n + l;
+            let take = f[1].min(freed);
+            (normal, low) = (normal - n + freed - take, low - l + take);
+            got += take;
+            assert!(low <= 25, "{low}");
+        }
+        assert!(got > 0 && low >= 20, "{got} {low}");
+    }
+
+    proptest! {
+        #![proptest_config(ProptestConfig {
+            cases: 256,
+            failure_persistence: None,
+            rng_seed: proptest::test_runner::RngSeed::Fixed(31),
+            ..ProptestConfig::default()
+        })]
+
+        /// Whatever the classes: all floors together stay within the share, no class of the highest
+        /// rank has one, and a class of which nothing runs while higher ones run is never left out.
+        #[test]
+        fn nobody_starves_and_nobody_of_higher_rank_waits_beyond_the_floor(
+            list in proptest::collection::vec((0usize..4, 0i64..50, 0i64..50, any::<bool>()), 1..6),
+        ) {
+            let ranks = [Rank::Production, Rank::High, Rank::Normal, Rank::Low];
+            let list: Vec<Standing> = list.iter()
+                .map(|(r, q, n, o)| class(ranks[*r], q * 1000, n * 1000, *o)).collect();
+            let f = floor(&list);
+            let running: i64 = list.iter().map(|s| s.running).sum();
+            prop_assert!(f.iter().sum::<i64>() as f64 <= running as f64 * SHARE);
+            let top = list.iter().map(|s| s.rank).min();
+            for (s, f) in list.iter().zip(&f) {
+                prop_assert!(*f >= 0 && *f <= s.waiting);
+                prop_assert!(*f == 0 || (Some(s.rank) != top && s.overdue));
+                let behind = list.iter().any(|h| h.rank < s.rank && h.running > 10_000 && h.pending() < 1.0);
+                if s.overdue && s.waiting > 0 && s.running == 0 && behind {
+                    prop_assert!(*f > 0, "{list:?}");
+                }
+            }
+        }
+    }
+}
--- a/src/fairness/mod.rs
+++ b/src/fairness/mod.rs
@@ -1,5 +1,6 @@
 //! Fairness: the paper's control loop. Pending fractions, unfairness, raises.
 
+pub mod floor;
 pub mod rounds;
 
 use crate::time::Micros;
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -7,6 +7,7 @@
 //! Equal tasks are decided as one run: the cost is that of jobs and of machines with room, not of
 //! tasks times machines.
 
+use crate::fairness::floor::{self, Standing};
 use crate::hosts::model::{Host, HostState};
 use crate::ids::HostId;
 use crate::jobs::commit::Intent;
@@ -80,6 +81,8 @@
 /// A job's own owner pushes lower work aside for it; others only after this long, in case the owner
 /// has no room to make.
 const OTHERS_PUSH: Micros = 5 * SECOND;
+/// Classes without aims are overdue after this.
+const PATIENCE: Micros = 120 * SECOND;
 
 /// What can be pushed aside on a machine, found out when first asked.
 struct Soft {
@@ -106,6 +109,7 @@
 }
 
 /// An entry of the queue: some waiting tasks of a job.
+#[derive(Clone, Copy)]
 struct Entry<'a> {
     id: &'a JobId,
     job: &'a Job,
@@ -116,6 +120,8 @@
     home: bool,
     rank: Rank,
     turn: (bool, u64),
+    /// Goes before other arrays for the floor of its class.
+    floored: bool,
 }
 
 /// A task, its machine and the machine's session.
@@ -282,13 +288,17 @@
                     home,
                     rank,
                     turn,
+                    floored: false,
                 });
             }
         }
     }
+    if s.arrays {
+        raise_starved(s, &teams, &mut queue);
+    }
     queue.sort_by(|a, b| {
-        (!a.entitled, a.rank)
-            .cmp(&(!b.entitled, b.rank))
+        (!a.entitled, a.rank, !a.floored)
+            .cmp(&(!b.entitled, b.rank, !b.floored))
             .then(a.turn.0.cmp(&b.turn.0))
             .then(b.home.cmp(&a.home))
             .then((b.raised > 0).cmp(&(a.raised > 0)))
@@ -476,6 +486,79 @@
     out
 }
 
+/// Lets the longest waiting tasks of starved classes go before other arrays, as far as the floor of their
+/// class goes (`fairness::floor`): where a team's limit binds within the team, else among all others.
+/// Services and what ranks high stay before them.
+fn raise_starved<'a>(s: &Scene<'a>, teams: &Account<'a>, queue: &mut Vec<Entry<'a>>) {
+    let v = s.view;
+    let array = |j: &Job| j.spec.kind == Shape::Array && j.ready && !j.cancelled();
+    let overdue = |j: &Job| {
+        let patience = floor::patience(s.objectives, &j.spec.class, PATIENCE);
+        s.wall.saturating_sub(j.since) > patience
+    };
+    let lower = |e: &Entry<'_>| e.home && e.rank > Rank::Normal && array(e.job) && overdue(e.job);
+    if !queue.iter().any(lower) {
+        return;
+    }
+    let scope = |j: &'a Job| teams.binds(&j.spec.team).then_some(&*j.spec.team);
+    let mut classes: BTreeMap<(Option<&str>, &str), Standing> = BTreeMap::new();
+    for j in v.jobs.values().filter(|j| array(j)) {
+        let c = classes
+            .entry((scope(j), &*j.spec.class))
+            .or_insert(Standing {
+                rank: j.spec.rank,
+                waiting: 0,
+                running: 0,
+                overdue: false,
+            });
+        c.waiting += j.spec.room.cpus * i64::from(j.waiting);
+        c.running += j.spec.room.cpus * i64::from(j.placed);
+        c.overdue |= j.waiting > 0 && overdue(j);
+    }
+    // Each controller raises its own jobs: together they take the floor once.
+    let owners = match s.forecast {
+        true => 1,
+        false => v.members.len().max(1) as i64,
+    };
+    let mut floors: BTreeMap<(Option<&str>, &str), i64> = BTreeMap::new();
+    let scopes: BTreeSet<Option<&str>> = classes.keys().map(|k| k.0).collect();
+    for scope in scopes {
+        let of = || classes.iter().filter(|(k, _)| k.0 == scope);
+        let list: Vec<Standing> = of().map(|(_, c)| c.clone()).collect();
+        for ((k, _), cpus) in of().zip(floor::floor(&list)) {
+            floors.insert(*k, (cpus + owners - 1) / owners);
+        }
+    }
+    let mut order: Vec<usize> = (0..queue.len()).filter(|k| lower(&queue[*k])).collect();
+    order.sort_by_key(|k| (queue[*k].job.since, queue[*k].id, queue[*k].from));
+    for k in order {
+        let e = &mut queue[k];
+        let Some(left) = floors.get_mut(&(scope(e.job), &*e.job.spec.class)) else {
+            continue;
+        };
+        let each = e.job.spec.room.cpus.max(1);
+        // The first one also where the floor is smaller than a task.
+        let n = (*left + each - 1).div_euclid(each).clamp(0, e.count as i64);
+        if n == 0 {
+            continue;
+        }
+        *left -= n * each;
+        let n = n as usize;
+        let (from, count) = (e.from, e.count);
+        let rest = Entry {
+            from: from + n,
+            count: count - n,
+            ..*e
+        };
+        e.count = n;
+        e.floored = true;
+        e.rank = Rank::Normal;
+        if rest.count > 0 {
+            queue.push(rest);
+        }
+    }
+}
+
 /// Machines on which so many CPUs may be free, in order of their names.
 fn with_room<'a>(s: &Scene<'a>, least: i64) -> Vec<&'a HostId> {
     let index = s.view.index();
--- a/src/teams/mod.rs
+++ b/src/teams/mod.rs
@@ -58,6 +58,14 @@
         })
     }
 
+    /// Whether a team's limit keeps some of its work waiting.
+    pub fn binds(&self, name: &str) -> bool {
+        let u = self.usage(name);
+        let over = |max, wanted| max > 0 && wanted > max;
+        self.team(name)
+            .is_some_and(|t| over(t.cpus_max, u.wanted_cpus) || over(t.gpus_max, u.wanted_gpus))
+    }
+
     /// How many more tasks of a job its team's limit lets start.
     pub fn headroom(&self, s: &Spec) -> i64 {
         let u = self.usage(&s.team);
