Limits keep room for services and for starved classes until they have started

Cause: legacy-migrate takes 4 CPUs, seal-batch 1.

Change: the account of a team keeps claims: waiting tasks of high rank, and the floor of starved classes. Later tasks see the limit less the claims; what starts meets its claim.

--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -14,7 +14,7 @@
 use crate::jobs::model::{JobId, Room, Slot, Spec};
 use crate::settings::{Objective, ObjectiveKind, Team};
 use crate::store::view::{Job, View};
-use crate::teams::Account;
+use crate::teams::{Account, Turn};
 use crate::time::{Micros, SECOND};
 use crate::wire::user::{Rank, Shape};
 use foldhash::{HashMap, HashMapExt, HashSet, HashSetExt};
@@ -124,6 +124,17 @@
     floored: bool,
 }
 
+impl<'a> Entry<'a> {
+    fn turn_at_limit(&self) -> Turn<'a> {
+        match self.job.spec.kind {
+            Shape::Gang => Turn::Gang(self.id),
+            _ if self.job.spec.rank <= Rank::High => Turn::First,
+            _ if self.floored => Turn::Floored,
+            _ => Turn::Later,
+        }
+    }
+}
+
 /// A task, its machine and the machine's session.
 type Target = (u32, HostId, u64);
 /// A task to stop: job, number, attempt, what it takes.
@@ -294,7 +305,7 @@
         }
     }
     if s.arrays {
-        raise_starved(s, &teams, &mut queue);
+        raise_starved(s, &mut teams, &mut queue);
     }
     queue.sort_by(|a, b| {
         (!a.entitled, a.rank, !a.floored)
@@ -366,7 +377,8 @@
     let mut stuck: HashSet<(Kind<'_>, Rank)> = HashSet::new();
     for e in &queue {
         let spec = &e.job.spec;
-        let headroom = teams.headroom(spec);
+        let turn = e.turn_at_limit();
+        let headroom = teams.headroom(spec, turn);
         // What a limit keeps waiting waits for no machine.
         let may = u32::try_from(headroom)
             .unwrap_or(u32::MAX)
@@ -471,7 +483,7 @@
         }
         // In the forecast what has no place yet will have one: the limit is for all of it together.
         let counted = if s.forecast { missing } else { 0 };
-        teams.start(spec, got.len() as i64 + i64::from(counted));
+        teams.start(spec, got.len() as i64 + i64::from(counted), turn);
         if !got.is_empty() && !s.forecast {
             out.intents.push(Intent::Place {
                 job: e.id.clone(),
@@ -489,18 +501,25 @@
 /// Lets the longest waiting tasks of starved classes go before other arrays, as far as the floor of their
 /// class goes (`fairness::floor`): where a team's limit binds within the team, else among all others.
 /// Services and what ranks high stay before them.
-fn raise_starved<'a>(s: &Scene<'a>, teams: &Account<'a>, queue: &mut Vec<Entry<'a>>) {
+fn raise_starved<'a>(s: &Scene<'a>, teams: &mut Account<'a>, queue: &mut Vec<Entry<'a>>) {
     let v = s.view;
     let array = |j: &Job| j.spec.kind == Shape::Array && j.ready && !j.cancelled();
     let overdue = |j: &Job| {
         let patience = floor::patience(s.objectives, &j.spec.class, PATIENCE);
         s.wall.saturating_sub(j.since) > patience
     };
-    let lower = |e: &Entry<'_>| e.home && e.rank > Rank::Normal && array(e.job) && overdue(e.job);
-    if !queue.iter().any(lower) {
+    // Also others': what a team's limit keeps for a class, all controllers keep.
+    let lower = |j: &Job| j.spec.rank > Rank::Normal && array(j) && j.waiting > 0 && overdue(j);
+    if !v.waiting().any(|(_, j)| lower(j)) {
         return;
     }
-    let scope = |j: &'a Job| teams.binds(&j.spec.team).then_some(&*j.spec.team);
+    let binding: HashSet<&str> = s
+        .teams
+        .iter()
+        .map(|t| &*t.name)
+        .filter(|t| teams.binds(t))
+        .collect();
+    let scope = |j: &'a Job| binding.get(&*j.spec.team).copied();
     let mut classes: BTreeMap<(Option<&str>, &str), Standing> = BTreeMap::new();
     for j in v.jobs.values().filter(|j| array(j)) {
         let c = classes
@@ -526,10 +545,15 @@
         let of = || classes.iter().filter(|(k, _)| k.0 == scope);
         let list: Vec<Standing> = of().map(|(_, c)| c.clone()).collect();
         for ((k, _), cpus) in of().zip(floor::floor(&list)) {
+            if let Some(team) = scope {
+                teams.claim_floor(team, cpus);
+            }
             floors.insert(*k, (cpus + owners - 1) / owners);
         }
     }
-    let mut order: Vec<usize> = (0..queue.len()).filter(|k| lower(&queue[*k])).collect();
+    let mut order: Vec<usize> = (0..queue.len())
+        .filter(|k| queue[*k].home && lower(queue[*k].job))
+        .collect();
     order.sort_by_key(|k| (queue[*k].job.since, queue[*k].id, queue[*k].from));
     for k in order {
         let e = &mut queue[k];
--- a/src/teams/mod.rs
+++ b/src/teams/mod.rs
@@ -1,8 +1,9 @@
 //! Teams: what each uses, is owed, and may still start. Pure: one plan's account of it.
 
-use crate::jobs::model::{Room, Spec};
+use crate::jobs::model::{JobId, Room, Spec};
 use crate::settings::Team;
 use crate::store::view::View;
+use crate::wire::user::{Rank, Shape};
 use foldhash::HashMap;
 
 /// What a team's tasks take, and would take if all that wait ran too.
@@ -14,11 +15,38 @@
     wanted_gpus: i64,
 }
 
+/// What is kept of a team's limit for work that cannot start yet. Without it small tasks of lower rank
+/// take every CPU that becomes free, and whoever needs several at once, or is placed by another
+/// controller, never finds them.
+#[derive(Clone, Debug, Default)]
+struct Claims {
+    /// Waiting tasks of high rank: services as a rule.
+    first: Room,
+    /// Starved classes, up to their floor.
+    floor: Room,
+    /// One gang, with the machines for it at hand; whether it waits so long that other gangs wait too.
+    gang: Option<(JobId, Room, bool)>,
+}
+
+/// What a task is to its team's limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Turn<'a> {
+    /// High rank: no claim stands before it.
+    First,
+    /// Within the floor of a starved class.
+    Floored,
+    /// A gang.
+    Gang(&'a JobId),
+    /// Any other.
+    Later,
+}
+
 /// The account of all teams while a plan is made: it begins with what is placed, and what the plan
 /// adds counts at once.
 pub struct Account<'a> {
     teams: &'a [Team],
     by: HashMap<&'a str, Usage>,
+    claims: HashMap<&'a str, Claims>,
 }
 
 impl<'a> Account<'a> {
@@ -29,14 +57,19 @@
             let u = by.entry(team).or_default();
             (u.cpus, u.gpus, u.wanted_cpus, u.wanted_gpus) = (r.cpus, r.gpus, r.cpus, r.gpus);
         }
+        let mut claims: HashMap<&str, Claims> = HashMap::default();
         // What waits for other jobs holds no part of its team's guarantee or limit.
         for (_, j) in v.waiting().filter(|(_, j)| j.ready) {
             let r = &j.spec.room;
             let u = by.entry(&j.spec.team).or_default();
             u.wanted_cpus += r.cpus * i64::from(j.waiting);
             u.wanted_gpus += r.gpus * i64::from(j.waiting);
+            if j.spec.rank <= Rank::High && j.spec.kind != Shape::Gang {
+                let c = claims.entry(&j.spec.team).or_default();
+                c.first.give(&r.of_tasks(i64::from(j.queued())));
+            }
         }
-        Account { teams, by }
+        Account { teams, by, claims }
     }
 
     fn team(&self, name: &str) -> Option<&'a Team> {
@@ -66,22 +99,67 @@
             .is_some_and(|t| over(t.cpus_max, u.wanted_cpus) || over(t.gpus_max, u.wanted_gpus))
     }
 
+    /// Keeps so many CPUs of a team's limit for its starved classes.
+    pub fn claim_floor(&mut self, team: &'a str, cpus: i64) {
+        self.claims.entry(team).or_default().floor.cpus += cpus;
+    }
+
+    /// Keeps what a gang needs of its team's limit.
+    pub fn claim_gang(&mut self, id: &JobId, s: &'a Spec, patient: bool) {
+        let need = s.room.of_tasks(i64::from(s.tasks));
+        self.claims.entry(&s.team).or_default().gang = Some((id.clone(), need, patient));
+    }
+
     /// How many more tasks of a job its team's limit lets start.
-    pub fn headroom(&self, s: &Spec) -> i64 {
+    pub fn headroom(&self, s: &Spec, turn: Turn<'_>) -> i64 {
         let u = self.usage(&s.team);
-        let used = Room {
+        let mut used = Room {
             cpus: u.cpus,
             gpus: u.gpus,
             memory: 0,
         };
+        if let Some(c) = self.claims.get(&*s.team) {
+            if turn != Turn::First {
+                used.give(&c.first);
+            }
+            if turn == Turn::Later {
+                used.give(&c.floor);
+            }
+            if let Some((id, need, patient)) = &c.gang {
+                let behind = match turn {
+                    Turn::Gang(other) => *patient && other != id,
+                    Turn::Later => true,
+                    Turn::First | Turn::Floored => false,
+                };
+                if behind {
+                    used.give(need);
+                }
+            }
+        }
         at_once(self.teams, s, &used).unwrap_or(i64::MAX)
     }
 
-    /// So many tasks of a job count as started.
-    pub fn start(&mut self, s: &'a Spec, tasks: i64) {
+    /// So many tasks of a job count as started, and no longer as claimed.
+    pub fn start(&mut self, s: &'a Spec, tasks: i64, turn: Turn<'_>) {
+        let room = s.room.of_tasks(tasks);
         let u = self.by.entry(&s.team).or_default();
-        u.cpus += s.room.cpus * tasks;
-        u.gpus += s.room.gpus * tasks;
+        u.cpus += room.cpus;
+        u.gpus += room.gpus;
+        let Some(c) = self.claims.get_mut(&*s.team) else {
+            return;
+        };
+        let met = |claim: &mut Room| {
+            claim.cpus = (claim.cpus - room.cpus).max(0);
+            claim.gpus = (claim.gpus - room.gpus).max(0);
+        };
+        match turn {
+            Turn::First => met(&mut c.first),
+            Turn::Floored => met(&mut c.floor),
+            Turn::Gang(id) if tasks > 0 && c.gang.as_ref().is_some_and(|g| g.0 == *id) => {
+                c.gang = None;
+            }
+            Turn::Gang(_) | Turn::Later => {}
+        }
     }
 }
 
