The limit keeps room for the gang that waits longest, if its machines are there

Change: of each limit that binds, what the oldest gang needs is kept once it has waited 5 s and machines for it are free; after 40 s also from other gangs.

--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -78,6 +78,8 @@
 const PER_JOB: usize = 512;
 /// A gang that waited this long keeps free machines from younger ones.
 const GANG_PATIENCE: Micros = 40 * SECOND;
+/// After this its team's limit keeps room for a gang.
+const GANG_MOMENT: Micros = 5 * SECOND;
 /// A job's own owner pushes lower work aside for it; others only after this long, in case the owner
 /// has no room to make.
 const OTHERS_PUSH: Micros = 5 * SECOND;
@@ -304,6 +306,7 @@
             }
         }
     }
+    claim_for_gangs(s, &mut teams);
     if s.arrays {
         raise_starved(s, &mut teams, &mut queue);
     }
@@ -498,6 +501,51 @@
     out
 }
 
+/// Keeps, of each limit that binds, what the gang that waits longest needs, once it has waited a moment and
+/// if the machines for it are there. Otherwise a large gang of a team at its limit never starts: small
+/// tasks take what becomes free. Where the machines are what is missing, nothing is kept.
+fn claim_for_gangs<'a>(s: &Scene<'a>, teams: &mut Account<'a>) {
+    let v = s.view;
+    let mut oldest: BTreeMap<&str, (Micros, &JobId, &Job)> = BTreeMap::new();
+    for (id, j) in v.waiting() {
+        let age = s.wall.saturating_sub(j.since);
+        if j.spec.kind == Shape::Gang
+            && j.queued() == j.spec.tasks
+            && age > GANG_MOMENT
+            && teams.binds(&j.spec.team)
+        {
+            let o = oldest.entry(&j.spec.team).or_insert((age, id, j));
+            if (age, o.1) > (o.0, id) {
+                *o = (age, id, j);
+            }
+        }
+    }
+    for (age, id, j) in oldest.into_values() {
+        let spec = &j.spec;
+        let mut there = 0;
+        for (host, h) in &v.hosts {
+            if there >= i64::from(spec.tasks) {
+                break;
+            }
+            let Some(t) = v.types.get(&h.kind) else {
+                continue;
+            };
+            if h.state == HostState::Up && allowed(spec, h) {
+                let mut free = Room::of(t);
+                free.take(&v.load(host).used);
+                // Guests leave when they are asked to: where GPUs are needed only these count.
+                there += match spec.room.gpus {
+                    0 => free.times(&spec.room),
+                    n => free.gpus / n,
+                };
+            }
+        }
+        if there >= i64::from(spec.tasks) {
+            teams.claim_gang(id, spec, age > GANG_PATIENCE);
+        }
+    }
+}
+
 /// Lets the longest waiting tasks of starved classes go before other arrays, as far as the floor of their
 /// class goes (`fairness::floor`): where a team's limit binds within the team, else among all others.
 /// Services and what ranks high stay before them.
