A backlog's plan and the forecast keep machines in order by kind of task

Change: from the second job of a kind on, its order of machines is kept and follows what is taken; images are looked up once. Plans stay equal to task-by-task decisions, now also with images cached here and there (tests/grown.rs; fails without following the log).

--- a/benches/growth.rs
+++ b/benches/growth.rs
@@ -3,9 +3,11 @@
 //! the rows of one bench with each other, not with those of another machine.
 
 use coppergw::hosts::model::{Host, HostState};
+use coppergw::hosts::{Outlook, decide};
 use coppergw::ids::HostId;
 use coppergw::jobs::model::{Block, JobId, Placement, Record, Room, Slot, Spec};
-use coppergw::placement::{Open, Scene, plan};
+use coppergw::placement::{Open, Plan, Scene, plan};
+use coppergw::policy::Policy;
 use coppergw::store::keys;
 use coppergw::store::view::View;
 use coppergw::time::SECOND;
@@ -132,6 +134,11 @@
 }
 
 fn planned(v: &View, forecast: bool) -> usize {
+    let p = plan_of(v, forecast);
+    p.intents.len() + p.free.len()
+}
+
+fn plan_of(v: &View, forecast: bool) -> Plan {
     let yes = |_: &str| true;
     let no = |_: &str| false;
     let open = |_: &HostId, h: &Host| {
@@ -140,7 +147,7 @@
             mine: true,
         })
     };
-    let p = plan(&Scene {
+    plan(&Scene {
         view: v,
         wall: SECOND,
         teams: &[],
@@ -154,8 +161,7 @@
         arrays: true,
         steps: true,
         forecast,
-    });
-    p.intents.len() + p.free.len()
+    })
 }
 
 /// The plan of all that waits.
@@ -172,6 +178,57 @@
     b.bench_local(|| planned(&v, true));
 }
 
+/// What follows from the forecast: rentals, returns, machines that close.
+#[divan::bench(args = SIZES)]
+fn rent_and_return(b: Bencher<'_, '_>, n: usize) {
+    let v = view(n);
+    let forecast = plan_of(&v, true);
+    let policy = Policy::default();
+    let idle_since = v.hosts.keys().map(|id| (id.clone(), 0)).collect();
+    b.bench_local(|| {
+        let d = decide(&Outlook {
+            view: &v,
+            forecast: &forecast,
+            policy: &policy,
+            objectives: &[],
+            teams: &[],
+            wall: 100 * SECOND,
+            refused: &|_, _, _| false,
+            idle_since: &idle_since,
+            per_charter: 50,
+        });
+        d.rent.len() + d.give_back.len() + d.close.len()
+    });
+}
+
+/// One job waits, and every machine has room for one more task.
+#[divan::bench(args = SIZES)]
+fn one_job_on_scattered_room(b: Bencher<'_, '_>, n: usize) {
+    let mut v = view_of(n, 0);
+    let mut stamp = 10 * n as u64;
+    let used = n * TASKS / JOB;
+    for j in 0..used {
+        let id: JobId = job_name(j).into();
+        let Some(job) = v.jobs.get(&id) else { continue };
+        // Every twentieth task is done: one on each machine.
+        let slots = job.slots().map(|(i, s)| match i as usize % TASKS {
+            0 => Slot::Done,
+            _ => s.clone(),
+        });
+        let r = Record((*job.spec).clone(), Block(slots.collect()));
+        stamp += 1;
+        v.put(&keys::job(&id), &to_value(&r), stamp);
+    }
+    for j in used..used + n / 100 {
+        stamp += 1;
+        v.delete(&keys::job(&job_name(j)), stamp);
+    }
+    stamp += 1;
+    let job = to_value(&Record(spec(0, JOB, 800), Block::default()));
+    v.put(&keys::job("req-999999"), &job, stamp);
+    b.bench_local(|| planned(&v, false));
+}
+
 fn report(v: &View, host: usize) -> Report {
     let id = HostId::from(host_name(host));
     let shards = v.tasks_on(&id).into_iter().flatten();
--- a/src/hosts/mod.rs
+++ b/src/hosts/mod.rs
@@ -651,6 +651,7 @@
         }
     }
     // Return what stands empty and is not about to be used.
+    let given: HashSet<HostId> = out.give_back.iter().cloned().collect();
     for (id, h) in &v.hosts {
         let Some(whole) = v.types.get(&h.kind).map(Room::of) else {
             continue;
@@ -658,7 +659,7 @@
         // Guests leave when they are asked to; whoever needs the GPUs counts.
         let guests = v.tasks_on(id).is_some();
         let empty = h.state == HostState::Up
-            && !out.give_back.contains(id)
+            && !given.contains(id)
             && only_guests(v, id, h)
             && o.forecast.free.get(id).is_some_and(|f| {
                 if guests || whole.gpus > 0 {
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -7,6 +7,8 @@
 //! Equal tasks are decided as one run: the cost is that of jobs and of machines with room, not of
 //! tasks times machines.
 
+mod spots;
+
 use crate::fairness::floor::{self, Standing};
 use crate::hosts::model::{Host, HostState};
 use crate::ids::HostId;
@@ -18,6 +20,7 @@
 use crate::time::{Micros, SECOND};
 use crate::wire::user::{Rank, Shape};
 use foldhash::{HashMap, HashMapExt, HashSet, HashSetExt};
+use spots::{Score, Spots};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// A machine that may be given tasks.
@@ -70,7 +73,7 @@
     pub unplaced: Vec<(JobId, u32)>,
     /// Tasks that their team's limit keeps waiting, by job.
     pub limited: HashMap<JobId, u32>,
-    /// Room left on each open machine.
+    /// Room left on each open machine, in a forecast.
     pub free: BTreeMap<HostId, Room>,
 }
 
@@ -141,11 +144,13 @@
 type Target = (u32, HostId, u64);
 /// A task to stop: job, number, attempt, what it takes.
 type Victim = (JobId, u32, u32, Room);
-/// What two jobs must share for a machine to suit either: what they take, service, spot, types, zone.
+/// What two jobs must share for a machine to suit either as well: what they take, service, guest, spot,
+/// types, zone.
 type Kind<'a> = (
     [i64; 3],
     bool,
     bool,
+    bool,
     Option<&'a Vec<String>>,
     Option<&'a String>,
 );
@@ -195,6 +200,7 @@
     (
         [s.room.cpus, s.room.gpus, s.room.memory],
         s.kind == Shape::Service,
+        s.guest(),
         s.spot,
         s.types.as_ref(),
         s.zone.as_ref(),
@@ -354,7 +360,7 @@
     // Gangs may send guests away, and the forecast tells of every machine; else those with room are
     // enough until somebody has to be pushed aside.
     let mut all = s.forecast || queue.iter().any(|e| e.job.spec.kind == Shape::Gang);
-    let mut spots: Vec<Spot<'_>> = if all {
+    let spots: Vec<Spot<'_>> = if all {
         v.hosts.iter().filter_map(see).collect()
     } else {
         let least = queue
@@ -367,11 +373,13 @@
             .filter_map(|id| see((id, v.hosts.get(id)?)))
             .collect()
     };
-    let mut complete = |spots: &mut Vec<Spot<'a>>| {
+    let mut spots = Spots::new(spots);
+    // Those that come are full: they count only for who pushes others aside.
+    let mut complete = |spots: &mut Spots<'a>| {
         if !std::mem::replace(&mut all, true) {
-            let known: HashSet<HostId> = spots.iter().map(|s| s.id.clone()).collect();
+            let known: HashSet<HostId> = spots.list.iter().map(|s| s.id.clone()).collect();
             let others = v.hosts.iter().filter(|(id, _)| !known.contains(*id));
-            spots.extend(others.filter_map(see));
+            spots.list.extend(others.filter_map(see));
         }
     };
     let mut reserved = false;
@@ -406,10 +414,11 @@
                 missing = spec.tasks;
                 if !reserved && s.wall.saturating_sub(e.job.since) > GANG_PATIENCE {
                     reserved = true;
-                    for sp in spots.iter_mut() {
+                    for k in 0..spots.list.len() {
+                        let sp = &spots.list[k];
                         if spec.room.gpus > 0 && allowed(spec, sp.host) && sp.free.fits(&spec.room)
                         {
-                            sp.free.take(&spec.room);
+                            spots.take(k, &spec.room);
                         }
                     }
                 }
@@ -447,7 +456,7 @@
                         rest -= 1;
                     }
                 } else {
-                    let order = run.candidates(&spots);
+                    let order = spots.best(kind, &run, count);
                     if order.is_empty() {
                         full.insert(kind);
                     }
@@ -456,7 +465,7 @@
                     let prefers = pushes && spec.kind == Shape::Service;
                     let cold = order
                         .iter()
-                        .position(|(_, k)| !warm(spec, &spots[*k]))
+                        .position(|(_, k)| !warm(spec, &spots.list[*k]))
                         .filter(|_| prefers)
                         .unwrap_or(order.len());
                     rest -= run.fill(&mut spots, &order[..cold], rest);
@@ -497,7 +506,9 @@
             out.unplaced.push((e.id.clone(), missing));
         }
     }
-    out.free = spots.into_iter().map(|s| (s.id, s.free)).collect();
+    if s.forecast {
+        out.free = spots.list.into_iter().map(|s| (s.id, s.free)).collect();
+    }
     out
 }
 
@@ -674,34 +685,13 @@
             && allowed(self.spec, sp.host)
     }
 
-    /// Machines with room, best first. Filling the best one keeps it the best while it has room:
-    /// less free room is better, and nothing else in the score becomes worse.
-    fn candidates(&self, spots: &[Spot<'_>]) -> Vec<((i64, i64), usize)> {
-        let mut list: Vec<((i64, i64), usize)> = spots
-            .iter()
-            .enumerate()
-            .filter(|(_, sp)| {
-                self.suits(sp) && offer(self.spec, sp, &self.gpus).fits(&self.spec.room)
-            })
-            .map(|(k, sp)| (score(self.spec, sp), k))
-            .collect();
-        // Each takes one at least.
-        let n = self.waiting.len();
-        if n > 0 && n < list.len() {
-            list.select_nth_unstable(n - 1);
-            list.truncate(n);
-        }
-        list.sort_unstable();
-        list
-    }
-
     /// Places up to `n` tasks in this order and tells how many.
-    fn fill(&mut self, spots: &mut [Spot<'_>], order: &[((i64, i64), usize)], n: usize) -> usize {
+    fn fill(&mut self, spots: &mut Spots<'a>, order: &[(Score, usize)], n: usize) -> usize {
         let mut placed = 0;
         for (_, k) in order {
-            let sp = &mut spots[*k];
-            while placed < n && offer(self.spec, sp, &self.gpus).fits(&self.spec.room) {
-                self.take(sp);
+            while placed < n && offer(self.spec, &spots.list[*k], &self.gpus).fits(&self.spec.room)
+            {
+                self.take(spots, *k);
                 placed += 1;
             }
         }
@@ -709,8 +699,9 @@
     }
 
     /// Places one task of a job whose zones matter.
-    fn one(&mut self, spots: &mut [Spot<'a>]) -> bool {
+    fn one(&mut self, spots: &mut Spots<'a>) -> bool {
         let best = spots
+            .list
             .iter()
             .enumerate()
             .filter(|(_, sp)| {
@@ -718,17 +709,18 @@
                     && offer(self.spec, sp, &self.gpus).fits(&self.spec.room)
                     && zone_ok(self.spec, &self.zones, &sp.host.zone)
             })
-            .min_by_key(|(k, sp)| (score(self.spec, sp), *k))
+            .min_by_key(|(k, sp)| (score(self.spec, sp, warm(self.spec, sp)), *k))
             .map(|(k, _)| k);
         let Some(k) = best else { return false };
-        let zone: &'a str = &spots[k].host.zone;
+        let zone: &'a str = &spots.list[k].host.zone;
         *self.zones.entry(zone).or_default() += 1;
-        self.take(&mut spots[k]);
+        self.take(spots, k);
         true
     }
 
-    fn take(&mut self, sp: &mut Spot<'_>) {
-        sp.free.take(&self.spec.room);
+    fn take(&mut self, spots: &mut Spots<'_>, k: usize) {
+        spots.take(k, &self.spec.room);
+        let sp = &spots.list[k];
         let i = self.waiting[self.got.len()];
         self.got.push((i, sp.id.clone(), sp.session));
     }
@@ -842,8 +834,8 @@
     sp.images.is_some_and(|i| i.contains(&spec.image))
 }
 
-/// Smaller is better.
-fn score(spec: &Spec, sp: &Spot<'_>) -> (i64, i64) {
+/// Smaller is better. `warm`: taken as having the job's image.
+fn score(spec: &Spec, sp: &Spot<'_>, warm: bool) -> Score {
     let mut cost = 0;
     if sp.whole.gpus > 0 && spec.room.gpus == 0 {
         cost += 4;
@@ -851,7 +843,7 @@
     if sp.booting {
         cost += 8;
     }
-    if !warm(spec, sp) {
+    if !warm {
         cost += 2;
     }
     if spec.spot && !sp.host.spot {
@@ -873,21 +865,21 @@
 fn gang(
     v: &View,
     job: &Job,
-    spots: &mut [Spot<'_>],
+    spots: &mut Spots<'_>,
     gpus: &Gpus,
     forecast: bool,
     out: &mut Plan,
 ) -> Vec<Target> {
     let spec: &Spec = &job.spec;
     let may = spot(job);
-    let mut order: Vec<((i64, i64), usize, Room)> = Vec::new();
-    for (k, sp) in spots.iter_mut().enumerate() {
+    let mut order: Vec<(Score, usize, Room)> = Vec::new();
+    for (k, sp) in spots.list.iter_mut().enumerate() {
         if !allowed(spec, sp.host) || (sp.host.spot && !may) {
             continue;
         }
         let now = offer(spec, sp, gpus);
         if now.fits(&spec.room) {
-            order.push((score(spec, sp), k, now));
+            order.push((score(spec, sp, warm(spec, sp)), k, now));
             continue;
         }
         if spec.room.gpus == 0 || sp.free.gpus < spec.room.gpus || !sp.elsewhere {
@@ -902,7 +894,7 @@
         }
         if soon.fits(&spec.room) {
             // Those that are leaving already before those that would have to.
-            let (a, b) = score(spec, sp);
+            let (a, b) = score(spec, sp, warm(spec, sp));
             let rank = 16 + 16 * i64::from(sp.guests.as_ref().is_some_and(|g| !g.list.is_empty()));
             order.push(((a + rank, b), k, soon));
         }
@@ -910,7 +902,7 @@
     order.sort_unstable_by_key(|x| (x.0, x.1));
     let mut zones: Vec<&str> = order
         .iter()
-        .map(|x| spots[x.1].host.zone.as_str())
+        .map(|x| spots.list[x.1].host.zone.as_str())
         .collect();
     zones.sort_unstable();
     zones.dedup();
@@ -923,7 +915,7 @@
         let mut got: Vec<usize> = Vec::new();
         let mut per_zone: HashMap<&str, u32> = HashMap::new();
         for (_, k, room) in &order {
-            let zone = spots[*k].host.zone.as_str();
+            let zone = spots.list[*k].host.zone.as_str();
             if only.is_some_and(|z| z != zone) {
                 continue;
             }
@@ -944,19 +936,18 @@
         }
         let mut ready = true;
         for k in &got {
-            let sp = &mut spots[*k];
-            ready &= sp.free.fits(&spec.room);
-            sp.free.take(&spec.room);
+            ready &= spots.list[*k].free.fits(&spec.room);
+            spots.take(*k, &spec.room);
         }
         if ready || forecast {
             return got
                 .iter()
                 .enumerate()
-                .map(|(i, k)| (i as u32, spots[*k].id.clone(), spots[*k].session))
+                .map(|(i, k)| (i as u32, spots.list[*k].id.clone(), spots.list[*k].session))
                 .collect();
         }
         for k in got {
-            if let Some(g) = &mut spots[k].guests {
+            if let Some(g) = &mut spots.list[k].guests {
                 out.intents.append(&mut g.list);
             }
         }
@@ -1024,13 +1015,13 @@
 fn make_room(
     v: &View,
     run: &Run<'_>,
-    spots: &mut [Spot<'_>],
+    spots: &mut Spots<'_>,
     only_warm: bool,
     out: &mut Plan,
 ) -> bool {
     let spec = run.spec;
     let mut pick: Option<(i64, usize, usize)> = None;
-    for (k, sp) in spots.iter_mut().enumerate() {
+    for (k, sp) in spots.list.iter_mut().enumerate() {
         if !sp.mine
             || !allowed(spec, sp.host)
             || !zone_ok(spec, &run.zones, &sp.host.zone)
@@ -1047,7 +1038,7 @@
         soon.give(&s.stopping);
         if soon.fits(&spec.room) {
             // Room that is on its way already.
-            sp.free.take(&spec.room);
+            spots.take(k, &spec.room);
             return true;
         }
         let mut most = soon;
@@ -1076,7 +1067,7 @@
     let Some((_, k, n)) = pick else {
         return false;
     };
-    let sp = &mut spots[k];
+    let sp = &mut spots.list[k];
     if let Some(s) = &mut sp.soft {
         for (_, (id, i, attempt, room)) in s.victims.drain(..n) {
             s.stopping.give(&room);
@@ -1090,6 +1081,6 @@
             });
         }
     }
-    sp.free.take(&spec.room);
+    spots.take(k, &spec.room);
     true
 }
--- a/tests/grown.rs
+++ b/tests/grown.rs
@@ -156,6 +156,10 @@
     });
     let mut out: BTreeMap<String, BTreeMap<String, u32>> = BTreeMap::new();
     for (id, s) in order {
+        let warm = |id: &str| {
+            let images = w.view.images.get(id);
+            images.is_some_and(|i| i.contains(&s.image))
+        };
         for _ in 0..s.tasks {
             let best = free
                 .iter()
@@ -164,7 +168,8 @@
                 })
                 .min_by_key(|(id, (f, whole, spot))| {
                     let empty = f == whole && s.kind == Shape::Array && whole.times(&s.room) > 1;
-                    let cost = 2 + i64::from(s.spot && !spot) + 3 * i64::from(empty);
+                    let fetch = 2 * i64::from(!warm(id));
+                    let cost = fetch + i64::from(s.spot && !spot) + 3 * i64::from(empty);
                     (cost, f.cpus, (*id).clone())
                 })
                 .map(|(id, _)| id.clone());
@@ -190,15 +195,21 @@
     #[test]
     fn indexed_and_plain_plans_are_equal(
         machines in proptest::collection::vec((proptest::bool::weighted(0.1), any::<bool>()), 1..400),
+        images in proptest::collection::vec((0usize..400, 0u8..3), 0..200),
         jobs in proptest::collection::vec((0u8..2, 0u8..2, 1u32..400, 1i64..5, any::<bool>()), 1..24),
     ) {
         let mut w = World::new(&machines);
+        // Some machines have some of the images: jobs of one kind see them in different orders.
+        for (host, image) in &images {
+            let id = format!("m-{:06}", host % machines.len());
+            w.view.images.entry(id.as_str().into()).or_default().insert(format!("i{image}"));
+        }
         let mut list = Vec::new();
         for (i, (shape, rank, tasks, cpus, spot)) in jobs.iter().enumerate() {
             let shape = [Shape::Array, Shape::Service][*shape as usize];
             // Nobody ranks so that another is pushed aside: that is not what is compared here.
             let rank = [Rank::Normal, Rank::Low][*rank as usize];
-            let s = Spec { spot: *spot, image: format!("i{i}"), ..spec(shape, rank, *tasks, *cpus, 0) };
+            let s = Spec { spot: *spot, image: format!("i{}", i % 4), ..spec(shape, rank, *tasks, *cpus, 0) };
             w.job(&format!("req-{i}"), s.clone());
             list.push((format!("req-{i}"), s));
         }
