The forecast has the oldest gang at a limit start, as the claim will let it

Cause: a gang that did not fit into what is left of a limit just now was rented nothing for, and its machines were given back; without machines nothing was kept for it.

Change: for the one gang per limit that a claim is made for, the forecast does not count the team's arrays; the claim also counts machines that are half through their boot.

--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -17,7 +17,7 @@
 use crate::settings::{Objective, ObjectiveKind, Team};
 use crate::store::view::{Job, View};
 use crate::teams::{Account, Turn};
-use crate::time::{Micros, SECOND};
+use crate::time::{Micros, SECOND, from_secs};
 use crate::wire::user::{Rank, Shape};
 use foldhash::{HashMap, HashMapExt, HashSet, HashSetExt};
 use spots::{Score, Spots};
@@ -514,7 +514,8 @@
 
 /// Keeps, of each limit that binds, what the gang that waits longest needs, once it has waited a moment and
 /// if the machines for it are there. Otherwise a large gang of a team at its limit never starts: small
-/// tasks take what becomes free. Where the machines are what is missing, nothing is kept.
+/// tasks take what becomes free. Where the machines are what is missing, nothing is kept; the forecast,
+/// which has them come, takes it that the team's arrays will have made room by then.
 fn claim_for_gangs<'a>(s: &Scene<'a>, teams: &mut Account<'a>) {
     let v = s.view;
     let mut oldest: BTreeMap<&str, (Micros, &JobId, &Job)> = BTreeMap::new();
@@ -533,6 +534,16 @@
     }
     for (age, id, j) in oldest.into_values() {
         let spec = &j.spec;
+        if s.forecast {
+            let mut drains = Room::default();
+            for x in v.jobs.values().filter(|x| x.spec.team == spec.team) {
+                if x.spec.kind == Shape::Array {
+                    drains.give(&x.spec.room.of_tasks(i64::from(x.placed)));
+                }
+            }
+            teams.claim_gang(id, spec, true, drains);
+            continue;
+        }
         let mut there = 0;
         for (host, h) in &v.hosts {
             if there >= i64::from(spec.tasks) {
@@ -541,7 +552,10 @@
             let Some(t) = v.types.get(&h.kind) else {
                 continue;
             };
-            if h.state == HostState::Up && allowed(spec, h) {
+            // While the last of them boot the limit makes room.
+            let soon = h.rented + from_secs(t.ready_s) / 2 < s.wall;
+            let counts = h.state == HostState::Up || (h.state == HostState::Booting && soon);
+            if counts && allowed(spec, h) {
                 let mut free = Room::of(t);
                 free.take(&v.load(host).used);
                 // Guests leave when they are asked to: where GPUs are needed only these count.
@@ -552,7 +566,7 @@
             }
         }
         if there >= i64::from(spec.tasks) {
-            teams.claim_gang(id, spec, age > GANG_PATIENCE);
+            teams.claim_gang(id, spec, age > GANG_PATIENCE, Room::default());
         }
     }
 }
--- a/src/teams/mod.rs
+++ b/src/teams/mod.rs
@@ -24,8 +24,18 @@
     first: Room,
     /// Starved classes, up to their floor.
     floor: Room,
-    /// One gang, with the machines for it at hand; whether it waits so long that other gangs wait too.
-    gang: Option<(JobId, Room, bool)>,
+    gang: Option<GangClaim>,
+}
+
+/// What is kept for one gang.
+#[derive(Clone, Debug)]
+struct GangClaim {
+    id: JobId,
+    need: Room,
+    /// It waits so long that other gangs wait too.
+    patient: bool,
+    /// What will have ended before it starts.
+    drains: Room,
 }
 
 /// What a task is to its team's limit.
@@ -104,10 +114,15 @@
         self.claims.entry(team).or_default().floor.cpus += cpus;
     }
 
-    /// Keeps what a gang needs of its team's limit.
-    pub fn claim_gang(&mut self, id: &JobId, s: &'a Spec, patient: bool) {
-        let need = s.room.of_tasks(i64::from(s.tasks));
-        self.claims.entry(&s.team).or_default().gang = Some((id.clone(), need, patient));
+    /// Keeps what a gang needs of its team's limit; also from other gangs if it has waited long. For this
+    /// gang what `drains` does not count as used.
+    pub fn claim_gang(&mut self, id: &JobId, s: &'a Spec, patient: bool, drains: Room) {
+        self.claims.entry(&s.team).or_default().gang = Some(GangClaim {
+            id: id.clone(),
+            need: s.room.of_tasks(i64::from(s.tasks)),
+            patient,
+            drains,
+        });
     }
 
     /// How many more tasks of a job its team's limit lets start.
@@ -125,14 +140,12 @@
             if turn == Turn::Later {
                 used.give(&c.floor);
             }
-            if let Some((id, need, patient)) = &c.gang {
-                let behind = match turn {
-                    Turn::Gang(other) => *patient && other != id,
-                    Turn::Later => true,
-                    Turn::First | Turn::Floored => false,
-                };
-                if behind {
-                    used.give(need);
+            if let Some(g) = &c.gang {
+                match turn {
+                    Turn::Gang(id) if *id == g.id => used.take(&g.drains),
+                    Turn::Gang(_) if !g.patient => {}
+                    Turn::Gang(_) | Turn::Later => used.give(&g.need),
+                    Turn::First | Turn::Floored => {}
                 }
             }
         }
@@ -155,7 +168,7 @@
         match turn {
             Turn::First => met(&mut c.first),
             Turn::Floored => met(&mut c.floor),
-            Turn::Gang(id) if tasks > 0 && c.gang.as_ref().is_some_and(|g| g.0 == *id) => {
+            Turn::Gang(id) if tasks > 0 && c.gang.as_ref().is_some_and(|g| g.id == *id) => {
                 c.gang = None;
             }
             Turn::Gang(_) | Turn::Later => {}
