--- a/src/hosts/mod.rs
+++ b/src/hosts/mod.rs
@@ -522,6 +522,19 @@
             }
             continue;
         }
+        // A floor is for now: the flow says nothing of whether the machines at hand have room in one
+        // piece. Tasks that take most of a machine never find any where small ones run.
+        let starved = o.forecast.starved.get(id).copied().unwrap_or(0);
+        if starved > 0 {
+            missing.push(Missing {
+                types: pool.types.clone(),
+                zone: s.zone.as_ref(),
+                spot: s.spot && o.policy.use_spot,
+                room: s.room,
+                tasks: starved,
+                wanted: f64::from(starved) / per,
+            });
+        }
         let elsewhere = held.get(&*s.team).copied().unwrap_or_default();
         pool.load.push(Flow {
             rank: s.rank,
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -71,6 +71,8 @@
     pub intents: Vec<Intent>,
     /// Tasks without a place, by job; those that their team's limit keeps waiting are not among them.
     pub unplaced: Vec<(JobId, u32)>,
+    /// Of these, tasks within the floor of a starved class.
+    pub starved: HashMap<JobId, u32>,
     /// Tasks that their team's limit keeps waiting, by job.
     pub limited: HashMap<JobId, u32>,
     /// Room left on each open machine, in a forecast.
@@ -502,6 +504,9 @@
                 tasks: got,
             });
         }
+        if missing > 0 && e.floored {
+            *out.starved.entry(e.id.clone()).or_default() += missing;
+        }
         if missing > 0 {
             out.unplaced.push((e.id.clone(), missing));
         }
@@ -607,7 +612,8 @@
         c.running += j.spec.room.cpus * i64::from(j.placed);
         c.overdue |= j.waiting > 0 && overdue(j);
     }
-    // Each controller raises its own jobs: together they take the floor once.
+    // Each controller raises so many, its own jobs first: together they take the floor once. Whoever has
+    // a machine with room places them; where a task needs a whole machine that is seldom its owner.
     let owners = match s.forecast {
         true => 1,
         false => v.members.len().max(1) as i64,
@@ -624,10 +630,11 @@
             floors.insert(*k, (cpus + owners - 1) / owners);
         }
     }
-    let mut order: Vec<usize> = (0..queue.len())
-        .filter(|k| queue[*k].home && lower(queue[*k].job))
-        .collect();
-    order.sort_by_key(|k| (queue[*k].job.since, queue[*k].id, queue[*k].from));
+    let mut order: Vec<usize> = (0..queue.len()).filter(|k| lower(queue[*k].job)).collect();
+    order.sort_by_key(|k| {
+        let e = &queue[*k];
+        (!e.home, e.job.since, e.id, e.from)
+    });
     for k in order {
         let e = &mut queue[k];
         let Some(left) = floors.get_mut(&(scope(e.job), &*e.job.spec.class)) else {
