--- a/src/fairness/floor.rs
+++ b/src/fairness/floor.rs
@@ -24,19 +24,37 @@
     pub waiting: i64,
     /// R: what its running tasks take.
     pub running: i64,
+    /// t: how long a task of it runs, by its users' estimates, as the mean over its CPUs.
+    pub time: f64,
     /// Whether one of its jobs has waited longer than `patience`.
     pub overdue: bool,
 }
 
 impl Standing {
-    /// w of equation 3 with T and P of 1: the fraction of its work that is pending.
-    fn pending(&self) -> f64 {
+    /// One more job of the class.
+    pub fn add(&mut self, waiting: i64, running: i64, estimate: Micros) {
+        let (old, new) = (self.waiting + self.running, waiting + running);
+        if new > 0 {
+            let sum = self.time * old as f64 + estimate as f64 * new as f64;
+            self.time = sum / (old + new) as f64;
+        }
+        self.waiting += waiting;
+        self.running += running;
+    }
+
+    /// w of equation 3, P being 1: the fraction of its work that is pending, times T of equation 4, its
+    /// t over the largest.
+    fn pending(&self, longest: f64) -> f64 {
         let all = self.waiting + self.running;
-        if all > 0 {
-            self.waiting as f64 / all as f64
-        } else {
-            0.0
+        if all == 0 {
+            return 0.0;
         }
+        let t = if longest > 0.0 {
+            self.time / longest
+        } else {
+            1.0
+        };
+        self.waiting as f64 / all as f64 * t
     }
 }
 
@@ -52,9 +70,10 @@
 /// pending. All starved classes together get `SHARE` of what runs, less what they run already: whoever
 /// runs that much gets nothing ahead of its rank.
 pub fn floor(list: &[Standing]) -> Vec<i64> {
+    let longest = list.iter().map(|s| s.time).fold(0.0, f64::max);
     let starved = |s: &Standing| {
         let mut higher = list.iter().filter(|h| h.rank < s.rank && h.running > 0);
-        s.overdue && s.waiting > 0 && higher.any(|h| h.pending() < s.pending())
+        s.overdue && s.waiting > 0 && higher.any(|h| h.pending(longest) < s.pending(longest))
     };
     let running: i64 = list.iter().map(|s| s.running).sum();
     let n = list.iter().filter(|s| starved(s)).count().max(1) as i64;
@@ -77,6 +96,7 @@
             rank,
             waiting,
             running,
+            time: 1.0,
             overdue,
         }
     }
@@ -131,7 +151,7 @@
             for (s, f) in list.iter().zip(&f) {
                 prop_assert!(*f >= 0 && *f <= s.waiting);
                 prop_assert!(*f == 0 || (Some(s.rank) != top && s.overdue));
-                let behind = list.iter().any(|h| h.rank < s.rank && h.running > 10_000 && h.pending() < 1.0);
+                let behind = list.iter().any(|h| h.rank < s.rank && h.running > 10_000 && h.pending(1.0) < 1.0);
                 if s.overdue && s.waiting > 0 && s.running == 0 && behind {
                     prop_assert!(*f > 0, "{list:?}");
                 }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -539,14 +539,21 @@
     }
     for (age, id, j) in oldest.into_values() {
         let spec = &j.spec;
-        if s.forecast {
-            let mut drains = Room::default();
-            for x in v.jobs.values().filter(|x| x.spec.team == spec.team) {
-                if x.spec.kind == Shape::Array {
-                    drains.give(&x.spec.room.of_tasks(i64::from(x.placed)));
-                }
+        let (mut gangs, mut arrays) = (Room::default(), Room::default());
+        for x in v.jobs.values().filter(|x| x.spec.team == spec.team) {
+            let runs = x.spec.room.of_tasks(i64::from(x.placed));
+            match x.spec.kind {
+                Shape::Gang => gangs.give(&runs),
+                Shape::Array => arrays.give(&runs),
+                Shape::Service => {}
             }
-            teams.claim_gang(id, spec, true, drains);
+        }
+        // Gangs get their share by this and no more: they are large, and arrays would get nothing.
+        if gangs.cpus as f64 > (gangs.cpus + arrays.cpus) as f64 * floor::SHARE {
+            continue;
+        }
+        if s.forecast {
+            teams.claim_gang(id, spec, true, arrays);
             continue;
         }
         let mut there = 0;
@@ -606,10 +613,11 @@
                 rank: j.spec.rank,
                 waiting: 0,
                 running: 0,
+                time: 0.0,
                 overdue: false,
             });
-        c.waiting += j.spec.room.cpus * i64::from(j.waiting);
-        c.running += j.spec.room.cpus * i64::from(j.placed);
+        let cpus = |n: u32| j.spec.room.cpus * i64::from(n);
+        c.add(cpus(j.waiting), cpus(j.placed), j.spec.estimate);
         c.overdue |= j.waiting > 0 && overdue(j);
     }
     // Each controller raises so many, its own jobs first: together they take the floor once. Whoever has
