--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -8,6 +8,7 @@
 //! tasks times machines.
 
 mod spots;
+pub mod why;
 
 use crate::fairness::floor::{self, Standing};
 use crate::hosts::model::{Host, HostState};
@@ -71,6 +72,8 @@
     pub intents: Vec<Intent>,
     /// Tasks without a place, by job; those that their team's limit keeps waiting are not among them.
     pub unplaced: Vec<(JobId, u32)>,
+    /// Of these, tasks within the floor of a starved class.
+    pub starved: HashMap<JobId, u32>,
     /// Tasks that their team's limit keeps waiting, by job.
     pub limited: HashMap<JobId, u32>,
     /// Room left on each open machine, in a forecast.
@@ -502,6 +505,9 @@
                 tasks: got,
             });
         }
+        if missing > 0 && e.floored {
+            *out.starved.entry(e.id.clone()).or_default() += missing;
+        }
         if missing > 0 {
             out.unplaced.push((e.id.clone(), missing));
         }
@@ -534,14 +540,25 @@
     }
     for (age, id, j) in oldest.into_values() {
         let spec = &j.spec;
-        if s.forecast {
-            let mut drains = Room::default();
-            for x in v.jobs.values().filter(|x| x.spec.team == spec.team) {
-                if x.spec.kind == Shape::Array {
-                    drains.give(&x.spec.room.of_tasks(i64::from(x.placed)));
-                }
+        let (mut gangs, mut arrays) = (Room::default(), Room::default());
+        for x in v.jobs.values().filter(|x| x.spec.team == spec.team) {
+            let runs = x.spec.room.of_tasks(i64::from(x.placed));
+            match x.spec.kind {
+                Shape::Gang => gangs.give(&runs),
+                Shape::Array => arrays.give(&runs),
+                Shape::Service => {}
+            }
+        }
+        // Gangs get their share by this and no more: they are large, and arrays would get nothing.
+        if gangs.cpus as f64 > (gangs.cpus + arrays.cpus) as f64 * floor::SHARE {
+            // Arrays take what becomes free: machines rented for a gang would stand idle.
+            if s.forecast {
+                teams.close_gangs(&spec.team);
             }
-            teams.claim_gang(id, spec, true, drains);
+            continue;
+        }
+        if s.forecast {
+            teams.claim_gang(id, spec, true, arrays);
             continue;
         }
         let mut there = 0;
@@ -601,13 +618,15 @@
                 rank: j.spec.rank,
                 waiting: 0,
                 running: 0,
+                time: 0.0,
                 overdue: false,
             });
-        c.waiting += j.spec.room.cpus * i64::from(j.waiting);
-        c.running += j.spec.room.cpus * i64::from(j.placed);
+        let cpus = |n: u32| j.spec.room.cpus * i64::from(n);
+        c.add(cpus(j.waiting), cpus(j.placed), j.spec.estimate);
         c.overdue |= j.waiting > 0 && overdue(j);
     }
-    // Each controller raises its own jobs: together they take the floor once.
+    // Each controller raises so many, its own jobs first: together they take the floor once. Whoever has
+    // a machine with room places them; where a task needs a whole machine that is seldom its owner.
     let owners = match s.forecast {
         true => 1,
         false => v.members.len().max(1) as i64,
@@ -624,10 +643,11 @@
             floors.insert(*k, (cpus + owners - 1) / owners);
         }
     }
-    let mut order: Vec<usize> = (0..queue.len())
-        .filter(|k| queue[*k].home && lower(queue[*k].job))
-        .collect();
-    order.sort_by_key(|k| (queue[*k].job.since, queue[*k].id, queue[*k].from));
+    let mut order: Vec<usize> = (0..queue.len()).filter(|k| lower(queue[*k].job)).collect();
+    order.sort_by_key(|k| {
+        let e = &queue[*k];
+        (!e.home, e.job.since, e.id, e.from)
+    });
     for k in order {
         let e = &mut queue[k];
         let Some(left) = floors.get_mut(&(scope(e.job), &*e.job.spec.class)) else {
