--- a/src/fairness/floor.rs
+++ b/src/fairness/floor.rs
@@ -6,13 +6,15 @@
 //! tasks are raised, running ones are not touched.
 
 use crate::settings::Objective;
-use crate::time::Micros;
+use crate::time::{Micros, SECOND};
 use crate::wire::user::Rank;
 
 /// Of the room in which the arrays of a scope run, all starved classes together get this share.
 pub const SHARE: f64 = 1.0 / 3.0;
 /// A job is overdue after this share of the widest aim of its class: it could still meet that.
 const PATIENCE: f64 = 0.3;
+/// The same for classes without aims.
+const WITHOUT_AIMS: Micros = 120 * SECOND;
 
 /// The arrays of one class within one scope: the team whose limit binds, or everybody else. CPUs in
 /// thousandths.
@@ -59,10 +61,10 @@
 }
 
 /// How long a job of a class may wait before its class counts as starved.
-pub fn patience(objectives: &[Objective], class: &str, default: Micros) -> Micros {
+pub fn patience(objectives: &[Objective], class: &str) -> Micros {
     let aims = objectives.iter().filter(|o| o.class == class);
     let widest = aims.map(|o| o.within).max();
-    widest.map_or(default, |w| (w as f64 * PATIENCE) as Micros)
+    widest.map_or(WITHOUT_AIMS, |w| (w as f64 * PATIENCE) as Micros)
 }
 
 /// For each class the CPUs that its waiting tasks may take now as if they had the highest rank among
--- a/src/fairness/rounds.rs
+++ b/src/fairness/rounds.rs
@@ -126,12 +126,7 @@
     async fn add_up(&self) {
         let t = {
             let view = self.feed.view();
-            let rows = table(
-                &view,
-                &self.settings.objectives,
-                self.policy.drain_low,
-                wall(),
-            );
+            let rows = table(&view, &self.settings.objectives, wall());
             for (who, share) in self.served.borrow_mut().fallen(&rows, self.clock.now()) {
                 let share = format!("{share:.2}");
                 tracing::warn!(
--- a/src/fairness/served.rs
+++ b/src/fairness/served.rs
@@ -105,7 +105,7 @@
 }
 
 /// All classes and teams. What waits for other jobs counts from when it may start.
-pub fn table(v: &View, objectives: &[Objective], default: Micros, wall: Micros) -> Vec<Row> {
+pub fn table(v: &View, objectives: &[Objective], wall: Micros) -> Vec<Row> {
     let mut rows: BTreeMap<(&str, &str), Row> = BTreeMap::new();
     for (key, e) in &v.served.ended {
         if let Some(k) = parse(key) {
@@ -132,7 +132,7 @@
         let age = wall.saturating_sub(j.since);
         r.waiting += 1;
         r.oldest_s = r.oldest_s.max(age as f64 / 1e6);
-        r.overdue += u64::from(age > patience(objectives, &j.spec.class, default));
+        r.overdue += u64::from(age > patience(objectives, &j.spec.class));
     }
     rows.into_iter()
         .map(|((class, team), r)| Row {
--- a/src/jobs/front.rs
+++ b/src/jobs/front.rs
@@ -411,7 +411,7 @@
                 Reply::with(200, &m)
             }
             "/inspect/served" => {
-                let rows = table(&v, &self.settings.objectives, self.policy.drain_low, wall());
+                let rows = table(&v, &self.settings.objectives, wall());
                 Reply::with(200, &rows)
             }
             "/inspect/jobs" => Reply::with(200, &why::count(&v, wall(), &self.reasons(&v))),
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -89,8 +89,6 @@
 /// A job's own owner pushes lower work aside for it; others only after this long, in case the owner
 /// has no room to make.
 const OTHERS_PUSH: Micros = 5 * SECOND;
-/// Classes without aims are overdue after this.
-const PATIENCE: Micros = 120 * SECOND;
 
 /// What can be pushed aside on a machine, found out when first asked.
 struct Soft {
@@ -594,10 +592,8 @@
 fn raise_starved<'a>(s: &Scene<'a>, teams: &mut Account<'a>, queue: &mut Vec<Entry<'a>>) {
     let v = s.view;
     let array = |j: &Job| j.spec.kind == Shape::Array && j.ready && !j.cancelled();
-    let overdue = |j: &Job| {
-        let patience = floor::patience(s.objectives, &j.spec.class, PATIENCE);
-        s.wall.saturating_sub(j.since) > patience
-    };
+    let overdue =
+        |j: &Job| s.wall.saturating_sub(j.since) > floor::patience(s.objectives, &j.spec.class);
     // Also others': what a team's limit keeps for a class, all controllers keep.
     let lower = |j: &Job| j.spec.rank > Rank::Normal && array(j) && j.waiting > 0 && overdue(j);
     if !v.waiting().any(|(_, j)| lower(j)) {
