--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -516,13 +516,20 @@
     out
 }
 
-/// Keeps, of each limit that binds, what the gang that waits longest needs, once it has waited a moment and
-/// if the machines for it are there. Otherwise a large gang of a team at its limit never starts: small
+/// Keeps, of each limit that binds, what one gang needs, once it has waited a moment and if the machines for
+/// it are there: the one that waited longest for what it takes, so that small ones go first and large
+/// ones have their turn with age. Otherwise a large gang of a team at its limit never starts: small
 /// tasks take what becomes free. Where the machines are what is missing, nothing is kept; the forecast,
 /// which has them come, takes it that the team's arrays will have made room by then.
 fn claim_for_gangs<'a>(s: &Scene<'a>, teams: &mut Account<'a>) {
     let v = s.view;
-    let mut oldest: BTreeMap<&str, (Micros, &JobId, &Job)> = BTreeMap::new();
+    let mut next: BTreeMap<&str, (Micros, &JobId, &Job)> = BTreeMap::new();
+    // Age over what it takes, compared without dividing.
+    let before = |a: (Micros, &JobId, &Job), b: (Micros, &JobId, &Job)| {
+        let cpus = |j: &Job| j.spec.room.of_tasks(i64::from(j.spec.tasks)).cpus.max(1) as u128;
+        let of = |x: (Micros, &JobId, &Job), y: &Job| u128::from(x.0) * cpus(y);
+        (of(a, b.2), b.1) > (of(b, a.2), a.1)
+    };
     for (id, j) in v.waiting() {
         let age = s.wall.saturating_sub(j.since);
         if j.spec.kind == Shape::Gang
@@ -530,13 +537,13 @@
             && age > GANG_MOMENT
             && teams.binds(&j.spec.team)
         {
-            let o = oldest.entry(&j.spec.team).or_insert((age, id, j));
-            if (age, o.1) > (o.0, id) {
-                *o = (age, id, j);
+            let n = next.entry(&j.spec.team).or_insert((age, id, j));
+            if before((age, id, j), *n) {
+                *n = (age, id, j);
             }
         }
     }
-    for (age, id, j) in oldest.into_values() {
+    for (age, id, j) in next.into_values() {
         let spec = &j.spec;
         let (mut gangs, mut arrays) = (Room::default(), Room::default());
         for x in v.jobs.values().filter(|x| x.spec.team == spec.team) {
