--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -84,6 +84,8 @@
 const PER_JOB: usize = 512;
 /// A gang that waited this long keeps free machines from younger ones.
 const GANG_PATIENCE: Micros = 40 * SECOND;
+/// Where more than one machine in so many has room, all are looked through.
+const MANY: usize = 4;
 /// After this its team's limit keeps room for a gang.
 const GANG_MOMENT: Micros = 5 * SECOND;
 /// A job's own owner pushes lower work aside for it; others only after this long, in case the owner
@@ -369,10 +371,15 @@
             .map(|e| e.job.spec.room.cpus)
             .min()
             .unwrap_or(0);
-        with_room(s, least)
-            .into_iter()
-            .filter_map(|id| see((id, v.hosts.get(id)?)))
-            .collect()
+        let ids = with_room(s, least);
+        if ids.len() * MANY > v.hosts.len() {
+            // Cheaper in a row than one by one; the order is the same.
+            let spots = v.hosts.iter().filter_map(see);
+            spots.filter(|sp| sp.free.cpus >= least).collect()
+        } else {
+            let found = ids.into_iter();
+            found.filter_map(|id| see((id, v.hosts.get(id)?))).collect()
+        }
     };
     let mut spots = Spots::new(spots);
     // Those that come are full: they count only for who pushes others aside.
