--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -102,7 +102,7 @@
 }
 
 struct Spot<'a> {
-    id: HostId,
+    id: &'a HostId,
     host: &'a Host,
     session: u64,
     mine: bool,
@@ -338,7 +338,7 @@
         .iter()
         .map(|(k, t)| (k.as_str(), Room::of(t)))
         .collect();
-    let see = |(id, host): (&HostId, &'a Host)| {
+    let see = |(id, host): (&'a HostId, &'a Host)| {
         let open = (s.open)(id, host)?;
         let whole = *rooms.get(host.kind.as_str())?;
         let mut free = whole;
@@ -347,7 +347,7 @@
             free.give(f);
         }
         Some(Spot {
-            id: id.clone(),
+            id,
             host,
             session: open.session,
             mine: open.mine,
@@ -385,8 +385,8 @@
     // Those that come are full: they count only for who pushes others aside.
     let mut complete = |spots: &mut Spots<'a>| {
         if !std::mem::replace(&mut all, true) {
-            let known: HashSet<HostId> = spots.list.iter().map(|s| s.id.clone()).collect();
-            let others = v.hosts.iter().filter(|(id, _)| !known.contains(*id));
+            let known: HashSet<&HostId> = spots.list.iter().map(|s| s.id).collect();
+            let others = v.hosts.iter().filter(|(id, _)| !known.contains(id));
             spots.list.extend(others.filter_map(see));
         }
     };
@@ -518,7 +518,8 @@
         }
     }
     if s.forecast {
-        out.free = spots.list.into_iter().map(|s| (s.id, s.free)).collect();
+        let free = spots.list.iter().map(|s| (s.id.clone(), s.free));
+        out.free = free.collect();
     }
     out
 }
@@ -1011,7 +1012,7 @@
         sum: Room::default(),
         list: Vec::new(),
     };
-    for ((id, index), p) in v.tasks_on(&sp.id).into_iter().flatten() {
+    for ((id, index), p) in v.tasks_on(sp.id).into_iter().flatten() {
         let Some(j) = v.jobs.get(id).filter(|j| j.spec.guest()) else {
             continue;
         };
@@ -1035,7 +1036,7 @@
         sum: Room::default(),
         victims: Vec::new(),
     };
-    for ((id, i), p) in v.tasks_on(&sp.id).into_iter().flatten() {
+    for ((id, i), p) in v.tasks_on(sp.id).into_iter().flatten() {
         let Some(j) = v.jobs.get(id) else { continue };
         if p.stop.is_some() || j.cancelled() {
             s.stopping.give(&j.spec.room);
