--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -84,6 +84,8 @@
 const PER_JOB: usize = 512;
 /// A gang that waited this long keeps free machines from younger ones.
 const GANG_PATIENCE: Micros = 40 * SECOND;
+/// Where more than one machine in so many has room, all are looked through.
+const MANY: usize = 4;
 /// After this its team's limit keeps room for a gang.
 const GANG_MOMENT: Micros = 5 * SECOND;
 /// A job's own owner pushes lower work aside for it; others only after this long, in case the owner
@@ -100,7 +102,7 @@
 }
 
 struct Spot<'a> {
-    id: HostId,
+    id: &'a HostId,
     host: &'a Host,
     session: u64,
     mine: bool,
@@ -336,7 +338,7 @@
         .iter()
         .map(|(k, t)| (k.as_str(), Room::of(t)))
         .collect();
-    let see = |(id, host): (&HostId, &'a Host)| {
+    let see = |(id, host): (&'a HostId, &'a Host)| {
         let open = (s.open)(id, host)?;
         let whole = *rooms.get(host.kind.as_str())?;
         let mut free = whole;
@@ -345,7 +347,7 @@
             free.give(f);
         }
         Some(Spot {
-            id: id.clone(),
+            id,
             host,
             session: open.session,
             mine: open.mine,
@@ -369,17 +371,22 @@
             .map(|e| e.job.spec.room.cpus)
             .min()
             .unwrap_or(0);
-        with_room(s, least)
-            .into_iter()
-            .filter_map(|id| see((id, v.hosts.get(id)?)))
-            .collect()
+        let ids = with_room(s, least);
+        if ids.len() * MANY > v.hosts.len() {
+            // Cheaper in a row than one by one; the order is the same.
+            let spots = v.hosts.iter().filter_map(see);
+            spots.filter(|sp| sp.free.cpus >= least).collect()
+        } else {
+            let found = ids.into_iter();
+            found.filter_map(|id| see((id, v.hosts.get(id)?))).collect()
+        }
     };
     let mut spots = Spots::new(spots);
     // Those that come are full: they count only for who pushes others aside.
     let mut complete = |spots: &mut Spots<'a>| {
         if !std::mem::replace(&mut all, true) {
-            let known: HashSet<HostId> = spots.list.iter().map(|s| s.id.clone()).collect();
-            let others = v.hosts.iter().filter(|(id, _)| !known.contains(*id));
+            let known: HashSet<&HostId> = spots.list.iter().map(|s| s.id).collect();
+            let others = v.hosts.iter().filter(|(id, _)| !known.contains(id));
             spots.list.extend(others.filter_map(see));
         }
     };
@@ -511,7 +518,8 @@
         }
     }
     if s.forecast {
-        out.free = spots.list.into_iter().map(|s| (s.id, s.free)).collect();
+        let free = spots.list.iter().map(|s| (s.id.clone(), s.free));
+        out.free = free.collect();
     }
     out
 }
@@ -1004,7 +1012,7 @@
         sum: Room::default(),
         list: Vec::new(),
     };
-    for ((id, index), p) in v.tasks_on(&sp.id).into_iter().flatten() {
+    for ((id, index), p) in v.tasks_on(sp.id).into_iter().flatten() {
         let Some(j) = v.jobs.get(id).filter(|j| j.spec.guest()) else {
             continue;
         };
@@ -1028,7 +1036,7 @@
         sum: Room::default(),
         victims: Vec::new(),
     };
-    for ((id, i), p) in v.tasks_on(&sp.id).into_iter().flatten() {
+    for ((id, i), p) in v.tasks_on(sp.id).into_iter().flatten() {
         let Some(j) = v.jobs.get(id) else { continue };
         if p.stop.is_some() || j.cancelled() {
             s.stopping.give(&j.spec.room);
