--- a/src/fairness/rounds.rs
+++ b/src/fairness/rounds.rs
@@ -127,6 +127,7 @@
         let t = {
             let view = self.feed.view();
             let rows = table(&view, &self.settings.objectives, wall());
+            tracing::debug!(?rows, "served");
             for (who, share) in self.served.borrow_mut().fallen(&rows, self.clock.now()) {
                 let share = format!("{share:.2}");
                 tracing::warn!(
--- a/src/hosts/lead.rs
+++ b/src/hosts/lead.rs
@@ -114,6 +114,9 @@
         }
         if now.saturating_sub(mem.round_at) >= self.policy.fairness_round {
             mem.round_at = now;
+            if tracing::enabled!(tracing::Level::DEBUG) {
+                tracing::debug!(machines = ?count(&self.feed.view()), "fleet");
+            }
             self.fairness_round().await;
         }
         self.carry_out_charters(mem);
@@ -750,6 +753,24 @@
     }
 }
 
+/// Machines by type, whether spot, and state; and those of them with nothing but guests on them.
+fn count(v: &View) -> BTreeMap<(&str, bool, &'static str), (u32, u32)> {
+    let mut out = BTreeMap::new();
+    for (id, h) in &v.hosts {
+        let state = match h.state {
+            HostState::Booting => "booting",
+            HostState::Up => "up",
+            HostState::Closing => "closing",
+            HostState::Draining | HostState::Sick => "no longer used",
+            HostState::Lost | HostState::Returning => "on the way back",
+        };
+        let c: &mut (u32, u32) = out.entry((&*h.kind, h.spot, state)).or_default();
+        c.0 += 1;
+        c.1 += u32::from(placement::only_guests(v, id, h));
+    }
+    out
+}
+
 /// A charter goes once each of its machines has a key of its own, or was returned. These keys must be
 /// there at that moment: without either a machine counts as gone. What one transaction cannot guard
 /// is done in steps, and then the charter keeps the other names.
