No more GPU machines with gangs close than stand free

With nothing waiting that may start, as many machines in use as stand free were closed at each look, four times a second, until none was left; the next gang had others rented.

Change: machines that close already count. Only where GPUs are what is needed: other work is drawn together on what stays open.

--- a/src/hosts/mod.rs
+++ b/src/hosts/mod.rs
@@ -217,7 +217,15 @@
                 Some(free.max(0) as f64 / whole.max(1) as f64)
             })
             .sum();
-        let n = (free - CLOSE_MARGIN).max(0.0) as usize;
+        // Tasks of gangs are not drawn together: what closes already is what this room is for. Counted
+        // again at each look it would close every machine in use, and others would be rented.
+        let closing =
+            |h: &&Host| h.state == HostState::Closing && self.types.iter().any(|t| t.sku == h.kind);
+        let closes = match gpus {
+            true => o.view.hosts.values().filter(closing).count(),
+            false => 0,
+        };
+        let n = (free - CLOSE_MARGIN - closes as f64).max(0.0) as usize;
         let mut list: Vec<(bool, usize, &HostId, i64)> = o
             .view
             .hosts
--- a/tests/teams.rs
+++ b/tests/teams.rs
@@ -411,3 +411,48 @@
         common::indexed(&truth);
     }
 }
+
+/// With more room free than gangs need, machines in use close so that what is free goes first. Each look
+/// closed as many again: all that were in use closed, and others were rented for the next gang.
+#[test]
+fn no_more_machines_with_gangs_close_than_stand_free() {
+    let mut f = Fleet::new(0, 0);
+    let types = vec![
+        machine_type("cpu", 16.0, 0.0),
+        machine_type("gpu", 24.0, 2.0),
+    ];
+    f.store.put(keys::TYPES.into(), &types);
+    let host = |state| Host {
+        kind: "gpu".into(),
+        zone: "a".into(),
+        spot: false,
+        addr: None,
+        session: 1,
+        state,
+        rented: 0,
+    };
+    for i in 0..40 {
+        f.store
+            .put(keys::host(&format!("m-{i:06}")), &host(HostState::Up));
+    }
+    let gang = job("free", Shape::Gang, Rank::Normal, 36, 21);
+    let room = Room {
+        gpus: 2 * CPU,
+        ..gang.room
+    };
+    f.job("req-000001", &Spec { room, ..gang });
+    let v = f.view();
+    let first = f.plan(&v, None, false).intents;
+    f.carry_out(&v, &first);
+    let mut closed = 0;
+    for _ in 0..5 {
+        let v = f.view();
+        assert_eq!(Fleet::placed(&v, "req-000001"), 36);
+        let d = f.rent(&v, &f.plan(&v, None, true));
+        for id in d.close {
+            closed += 1;
+            f.store.put(keys::host(&id), &host(HostState::Closing));
+        }
+    }
+    assert!(closed <= 4, "{closed} closed, 4 stood free");
+}
