--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -17,7 +17,7 @@
 use crate::settings::{Objective, ObjectiveKind, Team};
 use crate::store::view::{Job, View};
 use crate::teams::{Account, Turn};
-use crate::time::{Micros, SECOND};
+use crate::time::{Micros, SECOND, from_secs};
 use crate::wire::user::{Rank, Shape};
 use foldhash::{HashMap, HashMapExt, HashSet, HashSetExt};
 use spots::{Score, Spots};
@@ -71,6 +71,8 @@
     pub intents: Vec<Intent>,
     /// Tasks without a place, by job; those that their team's limit keeps waiting are not among them.
     pub unplaced: Vec<(JobId, u32)>,
+    /// Of these, tasks within the floor of a starved class.
+    pub starved: HashMap<JobId, u32>,
     /// Tasks that their team's limit keeps waiting, by job.
     pub limited: HashMap<JobId, u32>,
     /// Room left on each open machine, in a forecast.
@@ -502,6 +504,9 @@
                 tasks: got,
             });
         }
+        if missing > 0 && e.floored {
+            *out.starved.entry(e.id.clone()).or_default() += missing;
+        }
         if missing > 0 {
             out.unplaced.push((e.id.clone(), missing));
         }
@@ -514,7 +519,8 @@
 
 /// Keeps, of each limit that binds, what the gang that waits longest needs, once it has waited a moment and
 /// if the machines for it are there. Otherwise a large gang of a team at its limit never starts: small
-/// tasks take what becomes free. Where the machines are what is missing, nothing is kept.
+/// tasks take what becomes free. Where the machines are what is missing, nothing is kept; the forecast,
+/// which has them come, takes it that the team's arrays will have made room by then.
 fn claim_for_gangs<'a>(s: &Scene<'a>, teams: &mut Account<'a>) {
     let v = s.view;
     let mut oldest: BTreeMap<&str, (Micros, &JobId, &Job)> = BTreeMap::new();
@@ -533,6 +539,16 @@
     }
     for (age, id, j) in oldest.into_values() {
         let spec = &j.spec;
+        if s.forecast {
+            let mut drains = Room::default();
+            for x in v.jobs.values().filter(|x| x.spec.team == spec.team) {
+                if x.spec.kind == Shape::Array {
+                    drains.give(&x.spec.room.of_tasks(i64::from(x.placed)));
+                }
+            }
+            teams.claim_gang(id, spec, true, drains);
+            continue;
+        }
         let mut there = 0;
         for (host, h) in &v.hosts {
             if there >= i64::from(spec.tasks) {
@@ -541,7 +557,10 @@
             let Some(t) = v.types.get(&h.kind) else {
                 continue;
             };
-            if h.state == HostState::Up && allowed(spec, h) {
+            // While the last of them boot the limit makes room.
+            let soon = h.rented + from_secs(t.ready_s) / 2 < s.wall;
+            let counts = h.state == HostState::Up || (h.state == HostState::Booting && soon);
+            if counts && allowed(spec, h) {
                 let mut free = Room::of(t);
                 free.take(&v.load(host).used);
                 // Guests leave when they are asked to: where GPUs are needed only these count.
@@ -552,7 +571,7 @@
             }
         }
         if there >= i64::from(spec.tasks) {
-            teams.claim_gang(id, spec, age > GANG_PATIENCE);
+            teams.claim_gang(id, spec, age > GANG_PATIENCE, Room::default());
         }
     }
 }
@@ -593,7 +612,8 @@
         c.running += j.spec.room.cpus * i64::from(j.placed);
         c.overdue |= j.waiting > 0 && overdue(j);
     }
-    // Each controller raises its own jobs: together they take the floor once.
+    // Each controller raises so many, its own jobs first: together they take the floor once. Whoever has
+    // a machine with room places them; where a task needs a whole machine that is seldom its owner.
     let owners = match s.forecast {
         true => 1,
         false => v.members.len().max(1) as i64,
@@ -610,10 +630,11 @@
             floors.insert(*k, (cpus + owners - 1) / owners);
         }
     }
-    let mut order: Vec<usize> = (0..queue.len())
-        .filter(|k| queue[*k].home && lower(queue[*k].job))
-        .collect();
-    order.sort_by_key(|k| (queue[*k].job.since, queue[*k].id, queue[*k].from));
+    let mut order: Vec<usize> = (0..queue.len()).filter(|k| lower(queue[*k].job)).collect();
+    order.sort_by_key(|k| {
+        let e = &queue[*k];
+        (!e.home, e.job.since, e.id, e.from)
+    });
     for k in order {
         let e = &mut queue[k];
         let Some(left) = floors.get_mut(&(scope(e.job), &*e.job.spec.class)) else {
