--- a/src/fairness/mod.rs
+++ b/src/fairness/mod.rs
@@ -1,6 +1,8 @@
 //! Fairness: the paper's control loop. Pending fractions, unfairness, raises.
 
+pub mod floor;
 pub mod rounds;
+pub mod served;
 
 use crate::time::Micros;
 use serde::{Deserialize, Serialize};
--- a/src/hosts/lead.rs
+++ b/src/hosts/lead.rs
@@ -4,7 +4,7 @@
 use super::{Outlook, decide, mark_leaving, not_expected, put_host};
 use crate::ids::HostId;
 use crate::node::Node;
-use crate::placement::{self, Open, Scene};
+use crate::placement::{self, Open, Plan, Scene};
 use crate::settings::StateLimits;
 use crate::store::client::Outcome;
 use crate::store::keys;
@@ -114,6 +114,9 @@
         }
         if now.saturating_sub(mem.round_at) >= self.policy.fairness_round {
             mem.round_at = now;
+            if tracing::enabled!(tracing::Level::DEBUG) {
+                tracing::debug!(machines = ?count(&self.feed.view()), "fleet");
+            }
             self.fairness_round().await;
         }
         self.carry_out_charters(mem);
@@ -127,36 +130,7 @@
         let decision = {
             let view = self.feed.view();
             let wall = wall();
-            let yes = |_: &str| true;
-            let no = |_: &str| false;
-            let freed = HashMap::new();
-            let late = not_expected(&view, wall);
-            let open = |id: &HostId, h: &Host| {
-                let counts = match h.state {
-                    HostState::Up => true,
-                    HostState::Booting => !late.contains(id),
-                    _ => false,
-                };
-                counts.then_some(Open {
-                    session: h.session,
-                    mine: true,
-                })
-            };
-            let forecast = placement::plan(&Scene {
-                view: &view,
-                wall,
-                teams: &self.settings.teams,
-                objectives: &self.settings.objectives,
-                open: &open,
-                freed: &freed,
-                held_back: &no,
-                home: &yes,
-                mine: &yes,
-                gangs: true,
-                arrays: true,
-                steps: true,
-                forecast: true,
-            });
+            let forecast = self.forecast(&view, true);
             mem.idle_since.retain(|id, _| {
                 view.hosts
                     .get(id)
@@ -173,6 +147,7 @@
                 forecast: &forecast,
                 policy: &self.policy,
                 objectives: &self.settings.objectives,
+                teams: &self.settings.teams,
                 wall,
                 refused: &is_refused,
                 idle_since: &mem.idle_since,
@@ -198,6 +173,38 @@
         self.carry_out_leaving(mem);
     }
 
+    /// The plan over all machines as the leader sees it: with those that boot, what will be missing once
+    /// they are up; without, what has no place now.
+    pub fn forecast(&self, view: &View, booting: bool) -> Plan {
+        let wall = wall();
+        let late = not_expected(view, wall);
+        placement::plan(&Scene {
+            view,
+            wall,
+            teams: &self.settings.teams,
+            objectives: &self.settings.objectives,
+            open: &|id, h| {
+                let counts = match h.state {
+                    HostState::Up => true,
+                    HostState::Booting => booting && !late.contains(id),
+                    _ => false,
+                };
+                counts.then_some(Open {
+                    session: h.session,
+                    mine: true,
+                })
+            },
+            freed: &HashMap::new(),
+            held_back: &|_| false,
+            home: &|_| true,
+            mine: &|_| true,
+            gangs: true,
+            arrays: true,
+            steps: true,
+            forecast: true,
+        })
+    }
+
     async fn read_types(&self) {
         let a = self
             .http
@@ -746,6 +753,24 @@
     }
 }
 
+/// Machines by type, whether spot, and state; and those of them with nothing but guests on them.
+fn count(v: &View) -> BTreeMap<(&str, bool, &'static str), (u32, u32)> {
+    let mut out = BTreeMap::new();
+    for (id, h) in &v.hosts {
+        let state = match h.state {
+            HostState::Booting => "booting",
+            HostState::Up => "up",
+            HostState::Closing => "closing",
+            HostState::Draining | HostState::Sick => "no longer used",
+            HostState::Lost | HostState::Returning => "on the way back",
+        };
+        let c: &mut (u32, u32) = out.entry((&*h.kind, h.spot, state)).or_default();
+        c.0 += 1;
+        c.1 += u32::from(placement::only_guests(v, id, h));
+    }
+    out
+}
+
 /// A charter goes once each of its machines has a key of its own, or was returned. These keys must be
 /// there at that moment: without either a machine counts as gone. What one transaction cannot guard
 /// is done in steps, and then the charter keeps the other names.
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -7,15 +7,21 @@
 //! Equal tasks are decided as one run: the cost is that of jobs and of machines with room, not of
 //! tasks times machines.
 
+mod spots;
+pub mod why;
+
+use crate::fairness::floor::{self, Standing};
 use crate::hosts::model::{Host, HostState};
 use crate::ids::HostId;
 use crate::jobs::commit::Intent;
 use crate::jobs::model::{JobId, Room, Slot, Spec};
 use crate::settings::{Objective, ObjectiveKind, Team};
 use crate::store::view::{Job, View};
-use crate::time::{Micros, SECOND};
+use crate::teams::{Account, Turn};
+use crate::time::{Micros, SECOND, from_secs};
 use crate::wire::user::{Rank, Shape};
 use foldhash::{HashMap, HashMapExt, HashSet, HashSetExt};
+use spots::{Score, Spots};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// A machine that may be given tasks.
@@ -64,9 +70,13 @@
 pub struct Plan {
     /// What to change.
     pub intents: Vec<Intent>,
-    /// Tasks without a place, by job.
+    /// Tasks without a place, by job; those that their team's limit keeps waiting are not among them.
     pub unplaced: Vec<(JobId, u32)>,
-    /// Room left on each open machine.
+    /// Of these, tasks within the floor of a starved class.
+    pub starved: HashMap<JobId, u32>,
+    /// Tasks that their team's limit keeps waiting, by job.
+    pub limited: HashMap<JobId, u32>,
+    /// Room left on each open machine, in a forecast.
     pub free: BTreeMap<HostId, Room>,
 }
 
@@ -74,6 +84,10 @@
 const PER_JOB: usize = 512;
 /// A gang that waited this long keeps free machines from younger ones.
 const GANG_PATIENCE: Micros = 40 * SECOND;
+/// Where more than one machine in so many has room, all are looked through.
+const MANY: usize = 4;
+/// After this its team's limit keeps room for a gang.
+const GANG_MOMENT: Micros = 5 * SECOND;
 /// A job's own owner pushes lower work aside for it; others only after this long, in case the owner
 /// has no room to make.
 const OTHERS_PUSH: Micros = 5 * SECOND;
@@ -88,7 +102,7 @@
 }
 
 struct Spot<'a> {
-    id: HostId,
+    id: &'a HostId,
     host: &'a Host,
     session: u64,
     mine: bool,
@@ -103,6 +117,7 @@
 }
 
 /// An entry of the queue: some waiting tasks of a job.
+#[derive(Clone, Copy)]
 struct Entry<'a> {
     id: &'a JobId,
     job: &'a Job,
@@ -113,17 +128,32 @@
     home: bool,
     rank: Rank,
     turn: (bool, u64),
+    /// Goes before other arrays for the floor of its class.
+    floored: bool,
+}
+
+impl<'a> Entry<'a> {
+    fn turn_at_limit(&self) -> Turn<'a> {
+        match self.job.spec.kind {
+            Shape::Gang => Turn::Gang(self.id),
+            _ if self.job.spec.rank <= Rank::High => Turn::First,
+            _ if self.floored => Turn::Floored,
+            _ => Turn::Later,
+        }
+    }
 }
 
 /// A task, its machine and the machine's session.
 type Target = (u32, HostId, u64);
 /// A task to stop: job, number, attempt, what it takes.
 type Victim = (JobId, u32, u32, Room);
-/// What two jobs must share for a machine to suit either: what they take, service, spot, types, zone.
+/// What two jobs must share for a machine to suit either as well: what they take, service, guest, spot,
+/// types, zone.
 type Kind<'a> = (
     [i64; 3],
     bool,
     bool,
+    bool,
     Option<&'a Vec<String>>,
     Option<&'a String>,
 );
@@ -151,15 +181,6 @@
     waits: bool,
 }
 
-/// What a team's tasks take, and would take if all that wait ran too.
-#[derive(Default)]
-struct Usage {
-    cpus: i64,
-    gpus: i64,
-    wanted_cpus: i64,
-    wanted_gpus: i64,
-}
-
 /// Whether a machine is of a type, zone and kind that the job allows.
 pub fn allowed(spec: &Spec, h: &Host) -> bool {
     spec.types.as_ref().is_none_or(|t| t.contains(&h.kind))
@@ -182,6 +203,7 @@
     (
         [s.room.cpus, s.room.gpus, s.room.memory],
         s.kind == Shape::Service,
+        s.guest(),
         s.spot,
         s.types.as_ref(),
         s.zone.as_ref(),
@@ -231,26 +253,15 @@
     let v = s.view;
     let mut out = Plan::default();
     let elsewhere = elsewhere(v);
-    let mut usage: HashMap<&str, Usage> = HashMap::new();
+    let mut teams = Account::open(v, s.teams);
     // Leave whole machines with GPUs to those who need them: others get only what is beside that.
     let mut gpus = Gpus {
         need: Room::default(),
         waits: false,
     };
-    for (team, r) in &v.index().teams {
-        let u = usage.entry(team).or_default();
-        (u.cpus, u.gpus, u.wanted_cpus, u.wanted_gpus) = (r.cpus, r.gpus, r.cpus, r.gpus);
-    }
-    for (_, j) in v.waiting() {
-        let r = &j.spec.room;
-        // What waits for other jobs holds no part of its team's guarantee or limit.
-        if j.ready {
-            let u = usage.entry(&j.spec.team).or_default();
-            u.wanted_cpus += r.cpus * i64::from(j.waiting);
-            u.wanted_gpus += r.gpus * i64::from(j.waiting);
-        }
-        gpus.waits |= r.gpus > 0 && j.queued() > 0;
-    }
+    gpus.waits = v
+        .waiting()
+        .any(|(_, j)| j.spec.room.gpus > 0 && j.queued() > 0);
     for [cpus, g, memory] in v.index().gpu_rooms.keys() {
         gpus.need = Room {
             cpus: gpus.need.cpus.max(*cpus),
@@ -258,15 +269,6 @@
             memory: gpus.need.memory.max(*memory),
         };
     }
-    let guarantee = |team: &str| s.teams.iter().find(|t| t.name == team);
-    let entitled = |team: &str| {
-        guarantee(team).is_some_and(|t| {
-            (t.cpus > 0 || t.gpus > 0)
-                && usage
-                    .get(team)
-                    .is_some_and(|d| d.wanted_cpus <= t.cpus && d.wanted_gpus <= t.gpus)
-        })
-    };
     if !s.forecast {
         tidy(s, &mut out.intents);
     }
@@ -285,7 +287,7 @@
         {
             continue;
         }
-        let entitled = entitled(&job.spec.team);
+        let entitled = teams.entitled(&job.spec.team);
         let (rank, hopeless, order) = turn(s, job);
         let turn = (hopeless, order);
         let home = kind == Shape::Gang || (s.home)(id);
@@ -308,13 +310,18 @@
                     home,
                     rank,
                     turn,
+                    floored: false,
                 });
             }
         }
     }
+    claim_for_gangs(s, &mut teams);
+    if s.arrays {
+        raise_starved(s, &mut teams, &mut queue);
+    }
     queue.sort_by(|a, b| {
-        (!a.entitled, a.rank)
-            .cmp(&(!b.entitled, b.rank))
+        (!a.entitled, a.rank, !a.floored)
+            .cmp(&(!b.entitled, b.rank, !b.floored))
             .then(a.turn.0.cmp(&b.turn.0))
             .then(b.home.cmp(&a.home))
             .then((b.raised > 0).cmp(&(a.raised > 0)))
@@ -331,7 +338,7 @@
         .iter()
         .map(|(k, t)| (k.as_str(), Room::of(t)))
         .collect();
-    let see = |(id, host): (&HostId, &'a Host)| {
+    let see = |(id, host): (&'a HostId, &'a Host)| {
         let open = (s.open)(id, host)?;
         let whole = *rooms.get(host.kind.as_str())?;
         let mut free = whole;
@@ -340,7 +347,7 @@
             free.give(f);
         }
         Some(Spot {
-            id: id.clone(),
+            id,
             host,
             session: open.session,
             mine: open.mine,
@@ -356,7 +363,7 @@
     // Gangs may send guests away, and the forecast tells of every machine; else those with room are
     // enough until somebody has to be pushed aside.
     let mut all = s.forecast || queue.iter().any(|e| e.job.spec.kind == Shape::Gang);
-    let mut spots: Vec<Spot<'_>> = if all {
+    let spots: Vec<Spot<'_>> = if all {
         v.hosts.iter().filter_map(see).collect()
     } else {
         let least = queue
@@ -364,16 +371,23 @@
             .map(|e| e.job.spec.room.cpus)
             .min()
             .unwrap_or(0);
-        with_room(s, least)
-            .into_iter()
-            .filter_map(|id| see((id, v.hosts.get(id)?)))
-            .collect()
+        let ids = with_room(s, least);
+        if ids.len() * MANY > v.hosts.len() {
+            // Cheaper in a row than one by one; the order is the same.
+            let spots = v.hosts.iter().filter_map(see);
+            spots.filter(|sp| sp.free.cpus >= least).collect()
+        } else {
+            let found = ids.into_iter();
+            found.filter_map(|id| see((id, v.hosts.get(id)?))).collect()
+        }
     };
-    let mut complete = |spots: &mut Vec<Spot<'a>>| {
+    let mut spots = Spots::new(spots);
+    // Those that come are full: they count only for who pushes others aside.
+    let mut complete = |spots: &mut Spots<'a>| {
         if !std::mem::replace(&mut all, true) {
-            let known: HashSet<HostId> = spots.iter().map(|s| s.id.clone()).collect();
-            let others = v.hosts.iter().filter(|(id, _)| !known.contains(*id));
-            spots.extend(others.filter_map(see));
+            let known: HashSet<&HostId> = spots.list.iter().map(|s| s.id).collect();
+            let others = v.hosts.iter().filter(|(id, _)| !known.contains(id));
+            spots.list.extend(others.filter_map(see));
         }
     };
     let mut reserved = false;
@@ -382,25 +396,25 @@
     let mut stuck: HashSet<(Kind<'_>, Rank)> = HashSet::new();
     for e in &queue {
         let spec = &e.job.spec;
-        let used = usage
-            .get(spec.team.as_str())
-            .map_or((0, 0), |u| (u.cpus, u.gpus));
-        let mut headroom = i64::MAX;
-        if let Some(t) = guarantee(&spec.team) {
-            for (max, used, need) in [
-                (t.cpus_max, used.0, spec.room.cpus),
-                (t.gpus_max, used.1, spec.room.gpus),
-            ] {
-                if max > 0 && need > 0 {
-                    headroom = headroom.min(((max - used) / need).max(0));
-                }
-            }
+        let turn = e.turn_at_limit();
+        let headroom = teams.headroom(spec, turn);
+        // What a limit keeps waiting waits for no machine.
+        let may = u32::try_from(headroom)
+            .unwrap_or(u32::MAX)
+            .min(e.count as u32);
+        if may < e.count as u32 {
+            *out.limited.entry(e.id.clone()).or_default() += e.count as u32 - may;
         }
         let mut got: Vec<Target> = Vec::new();
         let mut missing = 0u32;
         if spec.kind == Shape::Gang {
             // While part of the old attempt is still on its machines, nothing starts.
-            if e.job.waiting != spec.tasks || i64::from(spec.tasks) > headroom {
+            if e.job.waiting != spec.tasks {
+                continue;
+            }
+            if may < spec.tasks {
+                // All of it or nothing.
+                out.limited.insert(e.id.clone(), spec.tasks);
                 continue;
             }
             got = gang(v, e.job, &mut spots, &gpus, s.forecast, &mut out);
@@ -408,10 +422,11 @@
                 missing = spec.tasks;
                 if !reserved && s.wall.saturating_sub(e.job.since) > GANG_PATIENCE {
                     reserved = true;
-                    for sp in spots.iter_mut() {
+                    for k in 0..spots.list.len() {
+                        let sp = &spots.list[k];
                         if spec.room.gpus > 0 && allowed(spec, sp.host) && sp.free.fits(&spec.room)
                         {
-                            sp.free.take(&spec.room);
+                            spots.take(k, &spec.room);
                         }
                     }
                 }
@@ -424,7 +439,7 @@
                 && (e.home || s.wall.saturating_sub(e.job.since) > OTHERS_PUSH)
                 && (spec.rank <= Rank::High || e.entitled);
             if blocked && (!pushes || stuck.contains(&(kind, spec.rank))) {
-                missing = e.count as u32;
+                missing = may;
             } else {
                 let waiting: Vec<u32> = e
                     .job
@@ -432,8 +447,7 @@
                     .filter(|(_, x)| matches!(x, Slot::Waiting(_)))
                     .map(|(i, _)| i)
                     .skip(e.from)
-                    .take(e.count.min(PER_JOB))
-                    .take(usize::try_from(headroom).unwrap_or(usize::MAX))
+                    .take((may as usize).min(PER_JOB))
                     .collect();
                 let count = waiting.len();
                 let mut rest = count;
@@ -450,7 +464,7 @@
                         rest -= 1;
                     }
                 } else {
-                    let order = run.candidates(&spots);
+                    let order = spots.best(kind, &run, count);
                     if order.is_empty() {
                         full.insert(kind);
                     }
@@ -459,7 +473,7 @@
                     let prefers = pushes && spec.kind == Shape::Service;
                     let cold = order
                         .iter()
-                        .position(|(_, k)| !warm(spec, &spots[*k]))
+                        .position(|(_, k)| !warm(spec, &spots.list[*k]))
                         .filter(|_| prefers)
                         .unwrap_or(order.len());
                     rest -= run.fill(&mut spots, &order[..cold], rest);
@@ -471,7 +485,7 @@
                     }
                     rest -= run.fill(&mut spots, &order[cold..], rest);
                 }
-                missing = rest as u32 + (e.count - count) as u32;
+                missing = rest as u32 + may - count as u32;
                 if pushes && rest > 0 {
                     complete(&mut spots);
                 }
@@ -487,25 +501,192 @@
                 got = run.got;
             }
         }
-        if !got.is_empty() {
-            let u = usage.entry(spec.team.as_str()).or_default();
-            u.cpus += spec.room.cpus * got.len() as i64;
-            u.gpus += spec.room.gpus * got.len() as i64;
-            if !s.forecast {
-                out.intents.push(Intent::Place {
-                    job: e.id.clone(),
-                    tasks: got,
-                });
-            }
+        // In the forecast what has no place yet will have one: the limit is for all of it together.
+        let counted = if s.forecast { missing } else { 0 };
+        teams.start(spec, got.len() as i64 + i64::from(counted), turn);
+        if !got.is_empty() && !s.forecast {
+            out.intents.push(Intent::Place {
+                job: e.id.clone(),
+                tasks: got,
+            });
+        }
+        if missing > 0 && e.floored {
+            *out.starved.entry(e.id.clone()).or_default() += missing;
         }
-        if missing > 0 && headroom > 0 {
+        if missing > 0 {
             out.unplaced.push((e.id.clone(), missing));
         }
     }
-    out.free = spots.into_iter().map(|s| (s.id, s.free)).collect();
+    if s.forecast {
+        let free = spots.list.iter().map(|s| (s.id.clone(), s.free));
+        out.free = free.collect();
+    }
     out
 }
 
+/// Keeps, of each limit that binds, what one gang needs, once it has waited a moment and if the machines for
+/// it are there: the one that waited longest for what it takes, so that small ones go first and large
+/// ones have their turn with age. Otherwise a large gang of a team at its limit never starts: small
+/// tasks take what becomes free. Where the machines are what is missing, nothing is kept; the forecast,
+/// which has them come, takes it that the team's arrays will have made room by then.
+fn claim_for_gangs<'a>(s: &Scene<'a>, teams: &mut Account<'a>) {
+    let v = s.view;
+    let mut next: BTreeMap<&str, (Micros, &JobId, &Job)> = BTreeMap::new();
+    // Age over what it takes, compared without dividing.
+    let before = |a: (Micros, &JobId, &Job), b: (Micros, &JobId, &Job)| {
+        let cpus = |j: &Job| j.spec.room.of_tasks(i64::from(j.spec.tasks)).cpus.max(1) as u128;
+        let of = |x: (Micros, &JobId, &Job), y: &Job| u128::from(x.0) * cpus(y);
+        (of(a, b.2), b.1) > (of(b, a.2), a.1)
+    };
+    for (id, j) in v.waiting() {
+        let age = s.wall.saturating_sub(j.since);
+        if j.spec.kind == Shape::Gang
+            && j.queued() == j.spec.tasks
+            && age > GANG_MOMENT
+            && teams.binds(&j.spec.team)
+        {
+            let n = next.entry(&j.spec.team).or_insert((age, id, j));
+            if before((age, id, j), *n) {
+                *n = (age, id, j);
+            }
+        }
+    }
+    for (age, id, j) in next.into_values() {
+        let spec = &j.spec;
+        let (mut gangs, mut arrays) = (Room::default(), Room::default());
+        for x in v.jobs.values().filter(|x| x.spec.team == spec.team) {
+            let runs = x.spec.room.of_tasks(i64::from(x.placed));
+            match x.spec.kind {
+                Shape::Gang => gangs.give(&runs),
+                Shape::Array => arrays.give(&runs),
+                Shape::Service => {}
+            }
+        }
+        // Gangs get their share by this and no more: they are large, and arrays would get nothing.
+        if gangs.cpus as f64 > (gangs.cpus + arrays.cpus) as f64 * floor::SHARE {
+            // Arrays take what becomes free: machines rented for a gang would stand idle.
+            if s.forecast {
+                teams.close_gangs(&spec.team);
+            }
+            continue;
+        }
+        if s.forecast {
+            teams.claim_gang(id, spec, true, arrays);
+            continue;
+        }
+        let mut there = 0;
+        for (host, h) in &v.hosts {
+            if there >= i64::from(spec.tasks) {
+                break;
+            }
+            let Some(t) = v.types.get(&h.kind) else {
+                continue;
+            };
+            // While the last of them boot the limit makes room.
+            let soon = h.rented + from_secs(t.ready_s) / 2 < s.wall;
+            let counts = h.state == HostState::Up || (h.state == HostState::Booting && soon);
+            if counts && allowed(spec, h) {
+                let mut free = Room::of(t);
+                free.take(&v.load(host).used);
+                // Guests leave when they are asked to: where GPUs are needed only these count.
+                there += match spec.room.gpus {
+                    0 => free.times(&spec.room),
+                    n => free.gpus / n,
+                };
+            }
+        }
+        if there >= i64::from(spec.tasks) {
+            teams.claim_gang(id, spec, age > GANG_PATIENCE, Room::default());
+        }
+    }
+}
+
+/// Lets the longest waiting tasks of starved classes go before other arrays, as far as the floor of their
+/// class goes (`fairness::floor`): where a team's limit binds within the team, else among all others.
+/// Services and what ranks high stay before them.
+fn raise_starved<'a>(s: &Scene<'a>, teams: &mut Account<'a>, queue: &mut Vec<Entry<'a>>) {
+    let v = s.view;
+    let array = |j: &Job| j.spec.kind == Shape::Array && j.ready && !j.cancelled();
+    let overdue =
+        |j: &Job| s.wall.saturating_sub(j.since) > floor::patience(s.objectives, &j.spec.class);
+    // Also others': what a team's limit keeps for a class, all controllers keep.
+    let lower = |j: &Job| j.spec.rank > Rank::Normal && array(j) && j.waiting > 0 && overdue(j);
+    if !v.waiting().any(|(_, j)| lower(j)) {
+        return;
+    }
+    let binding: HashSet<&str> = s
+        .teams
+        .iter()
+        .map(|t| &*t.name)
+        .filter(|t| teams.binds(t))
+        .collect();
+    let scope = |j: &'a Job| binding.get(&*j.spec.team).copied();
+    let mut classes: BTreeMap<(Option<&str>, &str), Standing> = BTreeMap::new();
+    for j in v.jobs.values().filter(|j| array(j)) {
+        let c = classes
+            .entry((scope(j), &*j.spec.class))
+            .or_insert(Standing {
+                rank: j.spec.rank,
+                waiting: 0,
+                running: 0,
+                time: 0.0,
+                overdue: false,
+            });
+        let cpus = |n: u32| j.spec.room.cpus * i64::from(n);
+        c.add(cpus(j.waiting), cpus(j.placed), j.spec.estimate);
+        c.overdue |= j.waiting > 0 && overdue(j);
+    }
+    // Each controller raises so many, its own jobs first: together they take the floor once. Whoever has
+    // a machine with room places them; where a task needs a whole machine that is seldom its owner.
+    let owners = match s.forecast {
+        true => 1,
+        false => v.members.len().max(1) as i64,
+    };
+    let mut floors: BTreeMap<(Option<&str>, &str), i64> = BTreeMap::new();
+    let scopes: BTreeSet<Option<&str>> = classes.keys().map(|k| k.0).collect();
+    for scope in scopes {
+        let of = || classes.iter().filter(|(k, _)| k.0 == scope);
+        let list: Vec<Standing> = of().map(|(_, c)| c.clone()).collect();
+        for ((k, _), cpus) in of().zip(floor::floor(&list)) {
+            if let Some(team) = scope {
+                teams.claim_floor(team, cpus);
+            }
+            floors.insert(*k, (cpus + owners - 1) / owners);
+        }
+    }
+    let mut order: Vec<usize> = (0..queue.len()).filter(|k| lower(queue[*k].job)).collect();
+    order.sort_by_key(|k| {
+        let e = &queue[*k];
+        (!e.home, e.job.since, e.id, e.from)
+    });
+    for k in order {
+        let e = &mut queue[k];
+        let Some(left) = floors.get_mut(&(scope(e.job), &*e.job.spec.class)) else {
+            continue;
+        };
+        let each = e.job.spec.room.cpus.max(1);
+        // The first one also where the floor is smaller than a task.
+        let n = (*left + each - 1).div_euclid(each).clamp(0, e.count as i64);
+        if n == 0 {
+            continue;
+        }
+        *left -= n * each;
+        let n = n as usize;
+        let (from, count) = (e.from, e.count);
+        let rest = Entry {
+            from: from + n,
+            count: count - n,
+            ..*e
+        };
+        e.count = n;
+        e.floored = true;
+        e.rank = Rank::Normal;
+        if rest.count > 0 {
+            queue.push(rest);
+        }
+    }
+}
+
 /// Machines on which so many CPUs may be free, in order of their names.
 fn with_room<'a>(s: &Scene<'a>, least: i64) -> Vec<&'a HostId> {
     let index = s.view.index();
@@ -549,34 +730,13 @@
             && allowed(self.spec, sp.host)
     }
 
-    /// Machines with room, best first. Filling the best one keeps it the best while it has room:
-    /// less free room is better, and nothing else in the score becomes worse.
-    fn candidates(&self, spots: &[Spot<'_>]) -> Vec<((i64, i64), usize)> {
-        let mut list: Vec<((i64, i64), usize)> = spots
-            .iter()
-            .enumerate()
-            .filter(|(_, sp)| {
-                self.suits(sp) && offer(self.spec, sp, &self.gpus).fits(&self.spec.room)
-            })
-            .map(|(k, sp)| (score(self.spec, sp), k))
-            .collect();
-        // Each takes one at least.
-        let n = self.waiting.len();
-        if n > 0 && n < list.len() {
-            list.select_nth_unstable(n - 1);
-            list.truncate(n);
-        }
-        list.sort_unstable();
-        list
-    }
-
     /// Places up to `n` tasks in this order and tells how many.
-    fn fill(&mut self, spots: &mut [Spot<'_>], order: &[((i64, i64), usize)], n: usize) -> usize {
+    fn fill(&mut self, spots: &mut Spots<'a>, order: &[(Score, usize)], n: usize) -> usize {
         let mut placed = 0;
         for (_, k) in order {
-            let sp = &mut spots[*k];
-            while placed < n && offer(self.spec, sp, &self.gpus).fits(&self.spec.room) {
-                self.take(sp);
+            while placed < n && offer(self.spec, &spots.list[*k], &self.gpus).fits(&self.spec.room)
+            {
+                self.take(spots, *k);
                 placed += 1;
             }
         }
@@ -584,8 +744,9 @@
     }
 
     /// Places one task of a job whose zones matter.
-    fn one(&mut self, spots: &mut [Spot<'a>]) -> bool {
+    fn one(&mut self, spots: &mut Spots<'a>) -> bool {
         let best = spots
+            .list
             .iter()
             .enumerate()
             .filter(|(_, sp)| {
@@ -593,17 +754,18 @@
                     && offer(self.spec, sp, &self.gpus).fits(&self.spec.room)
                     && zone_ok(self.spec, &self.zones, &sp.host.zone)
             })
-            .min_by_key(|(k, sp)| (score(self.spec, sp), *k))
+            .min_by_key(|(k, sp)| (score(self.spec, sp, warm(self.spec, sp)), *k))
             .map(|(k, _)| k);
         let Some(k) = best else { return false };
-        let zone: &'a str = &spots[k].host.zone;
+        let zone: &'a str = &spots.list[k].host.zone;
         *self.zones.entry(zone).or_default() += 1;
-        self.take(&mut spots[k]);
+        self.take(spots, k);
         true
     }
 
-    fn take(&mut self, sp: &mut Spot<'_>) {
-        sp.free.take(&self.spec.room);
+    fn take(&mut self, spots: &mut Spots<'_>, k: usize) {
+        spots.take(k, &self.spec.room);
+        let sp = &spots.list[k];
         let i = self.waiting[self.got.len()];
         self.got.push((i, sp.id.clone(), sp.session));
     }
@@ -717,8 +879,8 @@
     sp.images.is_some_and(|i| i.contains(&spec.image))
 }
 
-/// Smaller is better.
-fn score(spec: &Spec, sp: &Spot<'_>) -> (i64, i64) {
+/// Smaller is better. `warm`: taken as having the job's image.
+fn score(spec: &Spec, sp: &Spot<'_>, warm: bool) -> Score {
     let mut cost = 0;
     if sp.whole.gpus > 0 && spec.room.gpus == 0 {
         cost += 4;
@@ -726,7 +888,7 @@
     if sp.booting {
         cost += 8;
     }
-    if !warm(spec, sp) {
+    if !warm {
         cost += 2;
     }
     if spec.spot && !sp.host.spot {
@@ -748,21 +910,21 @@
 fn gang(
     v: &View,
     job: &Job,
-    spots: &mut [Spot<'_>],
+    spots: &mut Spots<'_>,
     gpus: &Gpus,
     forecast: bool,
     out: &mut Plan,
 ) -> Vec<Target> {
     let spec: &Spec = &job.spec;
     let may = spot(job);
-    let mut order: Vec<((i64, i64), usize, Room)> = Vec::new();
-    for (k, sp) in spots.iter_mut().enumerate() {
+    let mut order: Vec<(Score, usize, Room)> = Vec::new();
+    for (k, sp) in spots.list.iter_mut().enumerate() {
         if !allowed(spec, sp.host) || (sp.host.spot && !may) {
             continue;
         }
         let now = offer(spec, sp, gpus);
         if now.fits(&spec.room) {
-            order.push((score(spec, sp), k, now));
+            order.push((score(spec, sp, warm(spec, sp)), k, now));
             continue;
         }
         if spec.room.gpus == 0 || sp.free.gpus < spec.room.gpus || !sp.elsewhere {
@@ -777,7 +939,7 @@
         }
         if soon.fits(&spec.room) {
             // Those that are leaving already before those that would have to.
-            let (a, b) = score(spec, sp);
+            let (a, b) = score(spec, sp, warm(spec, sp));
             let rank = 16 + 16 * i64::from(sp.guests.as_ref().is_some_and(|g| !g.list.is_empty()));
             order.push(((a + rank, b), k, soon));
         }
@@ -785,7 +947,7 @@
     order.sort_unstable_by_key(|x| (x.0, x.1));
     let mut zones: Vec<&str> = order
         .iter()
-        .map(|x| spots[x.1].host.zone.as_str())
+        .map(|x| spots.list[x.1].host.zone.as_str())
         .collect();
     zones.sort_unstable();
     zones.dedup();
@@ -798,7 +960,7 @@
         let mut got: Vec<usize> = Vec::new();
         let mut per_zone: HashMap<&str, u32> = HashMap::new();
         for (_, k, room) in &order {
-            let zone = spots[*k].host.zone.as_str();
+            let zone = spots.list[*k].host.zone.as_str();
             if only.is_some_and(|z| z != zone) {
                 continue;
             }
@@ -819,19 +981,18 @@
         }
         let mut ready = true;
         for k in &got {
-            let sp = &mut spots[*k];
-            ready &= sp.free.fits(&spec.room);
-            sp.free.take(&spec.room);
+            ready &= spots.list[*k].free.fits(&spec.room);
+            spots.take(*k, &spec.room);
         }
         if ready || forecast {
             return got
                 .iter()
                 .enumerate()
-                .map(|(i, k)| (i as u32, spots[*k].id.clone(), spots[*k].session))
+                .map(|(i, k)| (i as u32, spots.list[*k].id.clone(), spots.list[*k].session))
                 .collect();
         }
         for k in got {
-            if let Some(g) = &mut spots[k].guests {
+            if let Some(g) = &mut spots.list[k].guests {
                 out.intents.append(&mut g.list);
             }
         }
@@ -851,7 +1012,7 @@
         sum: Room::default(),
         list: Vec::new(),
     };
-    for ((id, index), p) in v.tasks_on(&sp.id).into_iter().flatten() {
+    for ((id, index), p) in v.tasks_on(sp.id).into_iter().flatten() {
         let Some(j) = v.jobs.get(id).filter(|j| j.spec.guest()) else {
             continue;
         };
@@ -875,7 +1036,7 @@
         sum: Room::default(),
         victims: Vec::new(),
     };
-    for ((id, i), p) in v.tasks_on(&sp.id).into_iter().flatten() {
+    for ((id, i), p) in v.tasks_on(sp.id).into_iter().flatten() {
         let Some(j) = v.jobs.get(id) else { continue };
         if p.stop.is_some() || j.cancelled() {
             s.stopping.give(&j.spec.room);
@@ -899,13 +1060,13 @@
 fn make_room(
     v: &View,
     run: &Run<'_>,
-    spots: &mut [Spot<'_>],
+    spots: &mut Spots<'_>,
     only_warm: bool,
     out: &mut Plan,
 ) -> bool {
     let spec = run.spec;
     let mut pick: Option<(i64, usize, usize)> = None;
-    for (k, sp) in spots.iter_mut().enumerate() {
+    for (k, sp) in spots.list.iter_mut().enumerate() {
         if !sp.mine
             || !allowed(spec, sp.host)
             || !zone_ok(spec, &run.zones, &sp.host.zone)
@@ -922,7 +1083,7 @@
         soon.give(&s.stopping);
         if soon.fits(&spec.room) {
             // Room that is on its way already.
-            sp.free.take(&spec.room);
+            spots.take(k, &spec.room);
             return true;
         }
         let mut most = soon;
@@ -951,7 +1112,7 @@
     let Some((_, k, n)) = pick else {
         return false;
     };
-    let sp = &mut spots[k];
+    let sp = &mut spots.list[k];
     if let Some(s) = &mut sp.soft {
         for (_, (id, i, attempt, room)) in s.victims.drain(..n) {
             s.stopping.give(&room);
@@ -965,6 +1126,6 @@
             });
         }
     }
-    sp.free.take(&spec.room);
+    spots.take(k, &spec.room);
     true
 }
--- /dev/null
+++ b/src/teams/mod.rs
@@ -0,0 +1,203 @@
+//! Teams: what each uses, is owed, and may still start. Pure: one plan's account of it.
+
+use crate::jobs::model::{JobId, Room, Spec};
+use crate::settings::Team;
+use crate::store::view::View;
+use crate::wire::user::{Rank, Shape};
+use foldhash::HashMap;
+
+/// What a team's tasks take, and would take if all that wait ran too.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Usage {
+    cpus: i64,
+    gpus: i64,
+    wanted_cpus: i64,
+    wanted_gpus: i64,
+}
+
+/// What is kept of a team's limit for work that cannot start yet. Without it small tasks of lower rank
+/// take every CPU that becomes free, and whoever needs several at once, or is placed by another
+/// controller, never finds them.
+#[derive(Clone, Debug, Default)]
+struct Claims {
+    /// Waiting tasks of high rank: services as a rule.
+    first: Room,
+    /// Starved classes, up to their floor.
+    floor: Room,
+    gang: Option<GangClaim>,
+    /// Gangs have their share: no further one is counted on.
+    gangs_full: bool,
+}
+
+/// What is kept for one gang.
+#[derive(Clone, Debug)]
+struct GangClaim {
+    id: JobId,
+    need: Room,
+    /// It waits so long that other gangs wait too.
+    patient: bool,
+    /// What will have ended before it starts.
+    drains: Room,
+}
+
+/// What a task is to its team's limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Turn<'a> {
+    /// High rank: no claim stands before it.
+    First,
+    /// Within the floor of a starved class.
+    Floored,
+    /// A gang.
+    Gang(&'a JobId),
+    /// Any other.
+    Later,
+}
+
+/// The account of all teams while a plan is made: it begins with what is placed, and what the plan
+/// adds counts at once.
+pub struct Account<'a> {
+    teams: &'a [Team],
+    by: HashMap<&'a str, Usage>,
+    claims: HashMap<&'a str, Claims>,
+}
+
+impl<'a> Account<'a> {
+    /// What is placed, and what waits and may start.
+    pub fn open(v: &'a View, teams: &'a [Team]) -> Account<'a> {
+        let mut by: HashMap<&str, Usage> = HashMap::default();
+        for (team, r) in &v.index().teams {
+            let u = by.entry(team).or_default();
+            (u.cpus, u.gpus, u.wanted_cpus, u.wanted_gpus) = (r.cpus, r.gpus, r.cpus, r.gpus);
+        }
+        let mut claims: HashMap<&str, Claims> = HashMap::default();
+        // What waits for other jobs holds no part of its team's guarantee or limit.
+        for (_, j) in v.waiting().filter(|(_, j)| j.ready) {
+            let r = &j.spec.room;
+            let u = by.entry(&j.spec.team).or_default();
+            u.wanted_cpus += r.cpus * i64::from(j.waiting);
+            u.wanted_gpus += r.gpus * i64::from(j.waiting);
+            if j.spec.rank <= Rank::High && j.spec.kind != Shape::Gang {
+                let c = claims.entry(&j.spec.team).or_default();
+                c.first.give(&r.of_tasks(i64::from(j.queued())));
+            }
+        }
+        Account { teams, by, claims }
+    }
+
+    fn team(&self, name: &str) -> Option<&'a Team> {
+        self.teams.iter().find(|t| t.name == name)
+    }
+
+    fn usage(&self, name: &str) -> Usage {
+        self.by.get(name).copied().unwrap_or_default()
+    }
+
+    /// Whether all of a team's unfinished jobs fit into its guarantee together.
+    pub fn entitled(&self, name: &str) -> bool {
+        let u = self.usage(name);
+        self.team(name).is_some_and(|t| {
+            (t.cpus > 0 || t.gpus > 0)
+                && self.by.contains_key(name)
+                && u.wanted_cpus <= t.cpus
+                && u.wanted_gpus <= t.gpus
+        })
+    }
+
+    /// Whether a team's limit keeps some of its work waiting.
+    pub fn binds(&self, name: &str) -> bool {
+        let u = self.usage(name);
+        let over = |max, wanted| max > 0 && wanted > max;
+        self.team(name)
+            .is_some_and(|t| over(t.cpus_max, u.wanted_cpus) || over(t.gpus_max, u.wanted_gpus))
+    }
+
+    /// Keeps so many CPUs of a team's limit for its starved classes.
+    pub fn claim_floor(&mut self, team: &'a str, cpus: i64) {
+        self.claims.entry(team).or_default().floor.cpus += cpus;
+    }
+
+    /// Keeps what a gang needs of its team's limit; also from other gangs if it has waited long. For this
+    /// gang what `drains` does not count as used.
+    pub fn claim_gang(&mut self, id: &JobId, s: &'a Spec, patient: bool, drains: Room) {
+        self.claims.entry(&s.team).or_default().gang = Some(GangClaim {
+            id: id.clone(),
+            need: s.room.of_tasks(i64::from(s.tasks)),
+            patient,
+            drains,
+        });
+    }
+
+    /// Counts on no further gang of a team.
+    pub fn close_gangs(&mut self, team: &'a str) {
+        self.claims.entry(team).or_default().gangs_full = true;
+    }
+
+    /// How many more tasks of a job its team's limit lets start.
+    pub fn headroom(&self, s: &Spec, turn: Turn<'_>) -> i64 {
+        let u = self.usage(&s.team);
+        let mut used = Room {
+            cpus: u.cpus,
+            gpus: u.gpus,
+            memory: 0,
+        };
+        if let Some(c) = self.claims.get(&*s.team) {
+            if c.gangs_full && matches!(turn, Turn::Gang(_)) {
+                return 0;
+            }
+            if turn != Turn::First {
+                used.give(&c.first);
+            }
+            if turn == Turn::Later {
+                used.give(&c.floor);
+            }
+            if let Some(g) = &c.gang {
+                match turn {
+                    Turn::Gang(id) if *id == g.id => used.take(&g.drains),
+                    Turn::Gang(_) if !g.patient => {}
+                    Turn::Gang(_) | Turn::Later => used.give(&g.need),
+                    Turn::First | Turn::Floored => {}
+                }
+            }
+        }
+        at_once(self.teams, s, &used).unwrap_or(i64::MAX)
+    }
+
+    /// So many tasks of a job count as started, and no longer as claimed.
+    pub fn start(&mut self, s: &'a Spec, tasks: i64, turn: Turn<'_>) {
+        let room = s.room.of_tasks(tasks);
+        let u = self.by.entry(&s.team).or_default();
+        u.cpus += room.cpus;
+        u.gpus += room.gpus;
+        let Some(c) = self.claims.get_mut(&*s.team) else {
+            return;
+        };
+        let met = |claim: &mut Room| {
+            claim.cpus = (claim.cpus - room.cpus).max(0);
+            claim.gpus = (claim.gpus - room.gpus).max(0);
+        };
+        match turn {
+            Turn::First => met(&mut c.first),
+            Turn::Floored => met(&mut c.floor),
+            Turn::Gang(id) if tasks > 0 && c.gang.as_ref().is_some_and(|g| g.id == *id) => {
+                c.gang = None;
+            }
+            Turn::Gang(_) | Turn::Later => {}
+        }
+    }
+}
+
+/// How many tasks of a job its team may run at once beside what it holds elsewhere; `None` if nothing
+/// limits them.
+pub fn at_once(teams: &[Team], s: &Spec, elsewhere: &Room) -> Option<i64> {
+    let t = teams.iter().find(|t| t.name == s.team)?;
+    let amounts = [
+        (t.cpus_max, elsewhere.cpus, s.room.cpus),
+        (t.gpus_max, elsewhere.gpus, s.room.gpus),
+    ];
+    let limited = amounts
+        .iter()
+        .filter(|(max, _, need)| *max > 0 && *need > 0);
+    limited
+        .map(|(max, used, need)| ((max - used) / need).max(0))
+        .min()
+}
