An end in a gap of the log counts from where the gap begins

Cause, found on reading: a controller that read everything again took the jobs that had gone for ended at the read, and would have added them up once more after another leader had.

--- a/src/store/view.rs
+++ b/src/store/view.rs
@@ -264,7 +264,8 @@
         for k in gone {
             self.stamps.remove(&k);
             self.epoch += 1;
-            self.note_end(&k, rev);
+            // It went in the gap: counted from where that begins, so that nobody adds it up twice.
+            self.note_end(&k, self.rev.saturating_add(1).min(rev));
             self.apply(&k, None);
         }
     }
