Read once more: ends added up in one place, one rating of machines, claims where they matter

The table of what is served goes through Served::with, the order of machines and its first use share one rating, what a limit keeps waiting is one look-up, and a pass for services alone does not go through machines for gangs' claims.

--- a/src/fairness/served.rs
+++ b/src/fairness/served.rs
@@ -106,22 +106,15 @@
 
 /// All classes and teams. What waits for other jobs counts from when it may start.
 pub fn table(v: &View, objectives: &[Objective], wall: Micros) -> Vec<Row> {
+    // With the ends that the value does not count yet.
+    let all = v.served.with(v.ends().cloned(), u64::MAX, usize::MAX);
     let mut rows: BTreeMap<(&str, &str), Row> = BTreeMap::new();
-    for (key, e) in &v.served.ended {
+    for (key, e) in &all.ended {
         if let Some(k) = parse(key) {
             let r = rows.entry(k).or_default();
             (r.accepted, r.started, r.done) = (e.accepted, e.started, e.done);
         }
     }
-    // Ends that are not added up yet.
-    for e in v.ends().filter(|e| e.rev > v.served.rev) {
-        if let Some(k) = parse(&e.name) {
-            let r = rows.entry(k).or_default();
-            r.accepted += 1;
-            r.started += u64::from(e.started);
-            r.done += u64::from(e.done);
-        }
-    }
     for j in v.jobs.values().filter(|j| j.ready && !j.cancelled()) {
         let r = rows.entry((&j.spec.class, &j.spec.team)).or_default();
         r.accepted += 1;
--- a/src/hosts/mod.rs
+++ b/src/hosts/mod.rs
@@ -5,7 +5,7 @@
 pub mod model;
 
 use crate::ids::HostId;
-use crate::jobs::model::{JobId, Room, Spec};
+use crate::jobs::model::{Room, Spec};
 use crate::members::part_of;
 use crate::placement::{self, Plan, only_guests};
 use crate::policy::Policy;
@@ -455,7 +455,6 @@
         .iter()
         .map(|(id, n)| (&**id, *n))
         .collect();
-    let limited = |id: &JobId| o.forecast.limited.get(id).copied().unwrap_or(0);
     // What teams' services hold of their limits is not there for anything else.
     let mut held: HashMap<&str, Room> = HashMap::new();
     for j in v.jobs.values().filter(|j| j.spec.kind == Shape::Service) {
@@ -470,7 +469,7 @@
         let service = s.kind == Shape::Service;
         // The next steps of a pipeline count once those before them are about to end.
         let queued = v.queued_soon(j);
-        let soon = queued.saturating_sub(limited(id));
+        let soon = queued.saturating_sub(o.forecast.limited(id));
         if queued + j.placed == 0 || j.cancelled() || (service && lacking == 0) {
             continue;
         }
@@ -739,7 +738,7 @@
         .filter(|(_, j)| j.spec.kind == Shape::Service && j.ready && !j.cancelled());
     let (mut sum, mut largest) = (0, 0);
     for (id, j) in services {
-        let limited = o.forecast.limited.get(id).copied().unwrap_or(0);
+        let limited = o.forecast.limited(id);
         sum += j.spec.room.cpus * i64::from(j.placed + j.waiting.saturating_sub(limited));
         largest = largest.max(j.spec.room.cpus * i64::from(j.spec.tasks));
     }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -80,6 +80,13 @@
     pub free: BTreeMap<HostId, Room>,
 }
 
+impl Plan {
+    /// Tasks of a job that its team's limit keeps waiting.
+    pub fn limited(&self, id: &JobId) -> u32 {
+        self.limited.get(id).copied().unwrap_or(0)
+    }
+}
+
 /// So many tasks of a job at most in one plan: the next one follows at once.
 const PER_JOB: usize = 512;
 /// A gang that waited this long keeps free machines from younger ones.
@@ -315,7 +322,10 @@
             }
         }
     }
-    claim_for_gangs(s, &mut teams);
+    // A pass for services alone has nobody whom these would keep waiting.
+    if s.steps {
+        claim_for_gangs(s, &mut teams);
+    }
     if s.arrays {
         raise_starved(s, &mut teams, &mut queue);
     }
--- a/src/placement/spots.rs
+++ b/src/placement/spots.rs
@@ -15,8 +15,8 @@
     pub(super) list: Vec<Spot<'a>>,
     /// Machines of which something was taken, in that order.
     log: Vec<usize>,
-    /// How often a kind of task was asked for.
-    asked: HashMap<Key<'a>, u32>,
+    /// Kinds of tasks that were asked for.
+    asked: HashSet<Key<'a>>,
     ranked: HashMap<Key<'a>, Ranked>,
     /// By image: machines that have it, of those that had room when it was first asked for one.
     with_image: Option<HashMap<&'a str, HashSet<usize>>>,
@@ -26,7 +26,6 @@
 type Key<'a> = (Kind<'a>, bool, Option<&'a str>);
 
 /// Machines in their order for one kind of task.
-#[derive(Default)]
 struct Ranked {
     set: BTreeSet<(Score, usize)>,
     at: HashMap<usize, Score>,
@@ -39,7 +38,7 @@
         Spots {
             list,
             log: Vec::new(),
-            asked: HashMap::default(),
+            asked: HashSet::default(),
             ranked: HashMap::default(),
             with_image: None,
         }
@@ -58,15 +57,11 @@
     pub(super) fn best(&mut self, kind: Kind<'a>, run: &Run<'a>, n: usize) -> Vec<(Score, usize)> {
         let spec = run.spec;
         let cold = (kind, run.home, None);
-        let asked = self.asked.entry(cold).or_default();
-        *asked += 1;
-        if *asked == 1 {
+        if self.asked.insert(cold) {
             // Most plans hold one job of a kind: not worth an order that is kept.
-            let fits = |sp: &Spot<'_>| run.suits(sp) && offer(spec, sp, &run.gpus).fits(&spec.room);
             let list = self.list.iter().enumerate();
             let mut list: Vec<(Score, usize)> = list
-                .filter(|(_, sp)| fits(sp))
-                .map(|(k, sp)| (score(spec, sp, warm(spec, sp)), k))
+                .filter_map(|(k, sp)| Some((rate(run, sp, warm(spec, sp))?, k)))
                 .collect();
             // Each takes one at least.
             if n > 0 && n < list.len() {
@@ -124,11 +119,7 @@
 
     /// Brings the order for a kind of task up to what has been taken.
     fn follow(&mut self, key: Key<'a>, run: &Run<'a>) {
-        let spec = run.spec;
-        let of = |sp: &Spot<'_>| {
-            let fits = run.suits(sp) && offer(spec, sp, &run.gpus).fits(&spec.room);
-            fits.then(|| score(spec, sp, key.2.is_some()))
-        };
+        let of = |sp: &Spot<'_>| rate(run, sp, key.2.is_some());
         if !self.ranked.contains_key(&key) {
             let one = |k: usize| Some((of(&self.list[k])?, k));
             let all: Vec<(Score, usize)> = match (key.2, self.having(key.2)) {
@@ -164,3 +155,9 @@
         r.seen = self.log.len();
     }
 }
+
+/// What a machine with room for a run is worth to it.
+fn rate(run: &Run<'_>, sp: &Spot<'_>, warm: bool) -> Option<Score> {
+    let fits = run.suits(sp) && offer(run.spec, sp, &run.gpus).fits(&run.spec.room);
+    fits.then(|| score(run.spec, sp, warm))
+}
--- a/src/placement/why.rs
+++ b/src/placement/why.rs
@@ -33,7 +33,7 @@
     if j.cancelled() || j.waiting + fetching == 0 {
         return None;
     }
-    let limited = plan.limited.get(id).copied().unwrap_or(0);
+    let limited = plan.limited(id);
     let missing = plan.unplaced.iter().filter(|(x, _)| x == id);
     let missing: u32 = missing.map(|(_, n)| n).sum();
     Some(if !j.ready {
