A life of a controller is a name and a lease; plans only for what can be written

Cause: a process that is back within a fraction of a second meets its own past. A late write of its member key by the life before put the key on a lease that was about to end, and nothing wrote it again; the key of an ended leader kept everybody from leading while the next life of that name was alive; one that ended each second took its parts each time and drove none of them, so that no report of their machines was answered; who lost the lead and had it back under one lease counted rentals from one again, under names that the cloud had answered; a held message of a peer could pass for an outage that all share.

Change: claims of name, parts and lead are pure functions of a life (members/claim.rs), conditional, and made again while what stands differs from what is wanted; lives that ended more than once within a minute settle before they are given anything; names of rentals count in the process; that a peer is without the state service counts only in its answer to our question. A pass makes no plan while the budget of writes is in debt, and plans for about twice the jobs that can be written.

--- a/benches/growth.rs
+++ b/benches/growth.rs
@@ -161,6 +161,7 @@
         arrays: true,
         steps: true,
         forecast,
+        writes: None,
     })
 }
 
--- a/src/control/decide.rs
+++ b/src/control/decide.rs
@@ -58,9 +58,25 @@
     }
 }
 
-/// What makes the plan of a pass: the room of tasks that left, whether arrays take part, and whether
-/// gangs and steps of pipelines do.
-pub type Planner<'a> = &'a dyn Fn(&HashMap<HostId, Room>, bool, bool) -> Vec<Intent>;
+/// What a pass wants of a plan.
+pub struct Wish<'a> {
+    /// The room of tasks that left.
+    pub freed: &'a HashMap<HostId, Room>,
+    /// Whether arrays take part.
+    pub arrays: bool,
+    /// Whether gangs and steps of pipelines do.
+    pub steps: bool,
+    /// For how many jobs something can be written; `None` for any number.
+    pub writes: Option<usize>,
+}
+
+/// What makes the plan of a pass.
+pub type Planner<'a> = &'a dyn Fn(&Wish<'_>) -> Vec<Intent>;
+
+/// A plan is made for so many jobs more than there are writes, times the writes: some of what it finds
+/// cannot be staged.
+const PLAN_TIMES: usize = 2;
+const PLAN_MORE: usize = 8;
 
 /// What a pass decides on.
 pub struct Pass<'a> {
@@ -125,6 +141,10 @@
         let (mut level, burst) = p.budget;
         let waited = now.saturating_sub(self.arrays_at);
         let late = waited >= ARRAY_LATEST;
+        if level < 0.0 && !late {
+            // Nothing can be written, so nothing is worked out.
+            return Vec::new();
+        }
         let arrays = waited >= ARRAY_ROUND && (late || level > burst * KEEP_ARRAYS);
         // A few writes place hundreds of tasks: never starved by a flood of services.
         let keep_arrays = if late {
@@ -144,7 +164,14 @@
         // In the plan's order, each job's intents together.
         let mut first: Vec<(JobId, Vec<Intent>)> = Vec::new();
         let mut places: HashMap<JobId, usize> = HashMap::new();
-        for i in (p.plan)(&freed, arrays, steps) {
+        let wish = Wish {
+            freed: &freed,
+            arrays,
+            steps,
+            // Arrays that are late have a share of their own, whatever stands before them.
+            writes: (!late).then(|| level as usize * PLAN_TIMES + PLAN_MORE),
+        };
+        for i in (p.plan)(&wish) {
             // A step of a pipeline that has its deadline before it goes with services and gangs.
             let array = matches!(&i, Intent::Place { job, .. }
             if view.jobs.get(job).is_some_and(|j| {
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -5,17 +5,17 @@
 use crate::hosts::model::{Host, HostState};
 use crate::ids::HostId;
 use crate::jobs::commit::{Intent, Staged, sweep};
-use crate::jobs::model::{JobId, Room};
+use crate::jobs::model::JobId;
 use crate::members::{PARTS, part_of};
 use crate::node::Node;
-use crate::placement::{self, Open, Scene};
+use crate::placement::{self, Open, Scene, Writes};
 use crate::store::client::Outcome;
 use crate::store::view::View;
 use crate::time::{MILLI, Micros, SECOND, wall};
 use crate::wire::user::Shape;
 use crate::workers::{self, Machine};
-use decide::{KEEP_BOOKS, Pass, Rounds};
-use foldhash::{HashMap, HashSet};
+use decide::{KEEP_BOOKS, Pass, Rounds, Wish};
+use foldhash::HashSet;
 use futures_lite::FutureExt;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -108,9 +108,7 @@
             if self.feed.current() {
                 self.look(&view, full, &dirty, now);
                 let capped = |t: &str| self.settings.team(t).is_some_and(|t| t.capped());
-                let plan = |freed: &HashMap<HostId, Room>, arrays, steps| {
-                    self.plan(&view, &terms, freed, (arrays, steps), now)
-                };
+                let plan = |wish: &Wish<'_>| self.plan(&view, &terms, wish, now);
                 staged = self.control.rounds.borrow_mut().decide(&Pass {
                     view: &view,
                     lefts: &self.control.lefts.borrow(),
@@ -198,8 +196,7 @@
         &self,
         view: &View,
         terms: &[Option<u64>],
-        freed: &HashMap<HostId, Room>,
-        (arrays, steps): (bool, bool),
+        wish: &Wish<'_>,
         now: Micros,
     ) -> Vec<Intent> {
         if terms.iter().all(Option::is_none) {
@@ -208,7 +205,7 @@
         let machines = self.fleet.machines();
         // Jobs belong to parts as machines do.
         let mine = |name: &str| terms[part_of(name) as usize].is_some();
-        let gangs = steps && terms[GANGS as usize].is_some();
+        let gangs = wish.steps && terms[GANGS as usize].is_some();
         let queued = |kind| {
             let jobs = view.waiting().filter(move |(_, j)| j.spec.kind == kind);
             jobs.filter(|(_, j)| j.queued() > 0)
@@ -265,20 +262,23 @@
             };
             wall().saturating_sub(job.since) < wait
         };
+        let under_way = self.control.busy.borrow();
+        let busy = |id: &JobId| under_way.contains(id);
         placement::plan(&Scene {
             view,
             wall: wall(),
             teams: &self.settings.teams,
             objectives: &self.settings.objectives,
             open: &open,
-            freed,
+            freed: wish.freed,
             held_back: &held_back,
             home: &mine,
             mine: &mine,
             gangs,
-            arrays,
-            steps,
+            arrays: wish.arrays,
+            steps: wish.steps,
             forecast: false,
+            writes: wish.writes.map(|jobs| Writes { jobs, busy: &busy }),
         })
         .intents
     }
--- a/src/hosts/lead.rs
+++ b/src/hosts/lead.rs
@@ -15,7 +15,7 @@
 use crate::wire::{encode, json_size, to_value};
 use foldhash::{HashMap, HashMapExt, HashSet};
 use http_types::Method;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
@@ -47,17 +47,28 @@
 
 /// Rental combinations that the cloud refused: type, zone, kind; until when they are not tried.
 #[derive(Default)]
-pub struct Rentals(RefCell<HashMap<(String, String, bool), Micros>>);
+pub struct Rentals {
+    refused: RefCell<HashMap<(String, String, bool), Micros>>,
+    /// Names that this process gave to rentals and returns. It never starts again: who loses the lead
+    /// and has it back under the same lease would ask the cloud with a name that was answered, and get
+    /// machines that are long gone.
+    named: Cell<u64>,
+}
 
 impl Rentals {
     fn refused(&self, kind: &str, zone: &str, spot: bool, now: Micros) -> bool {
-        self.0
+        self.refused
             .borrow()
             .get(&(kind.to_string(), zone.to_string(), spot))
             .is_some_and(|t| *t > now)
     }
+    fn name(&self, node: &str, lease: u64) -> String {
+        let n = self.named.get() + 1;
+        self.named.set(n);
+        format!("{node}-{lease}-{n}")
+    }
     fn refuse(&self, c: &Charter, now: Micros) {
-        self.0
+        self.refused
             .borrow_mut()
             .insert((c.kind.clone(), c.zone.clone(), c.spot), now + REFUSED);
     }
@@ -76,7 +87,6 @@
     missing: HashMap<HostId, u32>,
     decide_at: Micros,
     decide_every: Micros,
-    charter_no: u64,
     under_way: Rc<RefCell<HashSet<String>>>,
     returning: Rc<RefCell<HashSet<HostId>>>,
 }
@@ -157,15 +167,14 @@
         let took = self.clock.now().saturating_sub(begun);
         mem.decide_every = DECIDE.max(took * DECIDE_REST);
         if self.limits().layout {
-            self.leave(mem, &decision.give_back).await;
+            self.leave(&decision.give_back).await;
         } else {
             self.mark(&decision.give_back, HostState::Returning).await;
         }
         self.mark(&decision.close, HostState::Closing).await;
         self.mark(&decision.reopen, HostState::Up).await;
         for c in decision.rent {
-            mem.charter_no += 1;
-            let name = self.charter_name(mem.charter_no);
+            let name = self.charter_name();
             self.write_charter(&name, &c).await;
         }
         self.carry_out_charters(mem);
@@ -202,6 +211,7 @@
             arrays: true,
             steps: true,
             forecast: true,
+            writes: None,
         })
     }
 
@@ -342,7 +352,6 @@
         // Machines that nobody knows are used: they are paid for. One write for many of them.
         for ((kind, zone, spot), list) in found {
             for chunk in list.chunks(self.per_charter()) {
-                mem.charter_no += 1;
                 let c = Charter {
                     kind: kind.clone(),
                     zone: zone.clone(),
@@ -351,7 +360,7 @@
                     at: chunk.iter().map(|x| x.1).max().unwrap_or(asked),
                     names: chunk.iter().map(|x| x.0.clone()).collect(),
                 };
-                let name = self.charter_name(mem.charter_no);
+                let name = self.charter_name();
                 self.write_charter(&name, &c).await;
             }
         }
@@ -422,7 +431,7 @@
 
     /// Marks machines as returning, many with one write: when a deployment shrinks, a write for each
     /// would take longer than the work that is left.
-    async fn leave(&self, mem: &mut Memory, ids: &[HostId]) {
+    async fn leave(&self, ids: &[HostId]) {
         for chunk in ids.chunks(self.per_charter()) {
             // See `mark`: they must still be empty.
             if !self.feed.barrier().await {
@@ -444,8 +453,7 @@
             if names.is_empty() {
                 continue;
             }
-            mem.charter_no += 1;
-            let name = self.charter_name(mem.charter_no);
+            let name = self.charter_name();
             let count = names.len();
             let l = Leaving {
                 names,
@@ -559,8 +567,10 @@
         }
     }
 
-    fn charter_name(&self, n: u64) -> String {
-        format!("{}-{}-{n}", self.me(), self.members.lease().unwrap_or(0))
+    /// A name that nobody used before: of this controller, this life of it, and this rental or return.
+    fn charter_name(&self) -> String {
+        let lease = self.members.lease().unwrap_or(0);
+        self.rentals.name(self.me(), lease)
     }
 
     async fn write_charter(&self, name: &str, c: &Charter) {
--- a/src/members/keep.rs
+++ b/src/members/keep.rs
@@ -1,6 +1,7 @@
 //! Keeping membership, leadership and parts; talking with peers.
 
-use super::{Leader, Member, PARTS, Part, VERSION, Version, all_know, assign};
+use super::claim::{self, Lead, Life};
+use super::{Member, VERSION, Version, all_know};
 use crate::hosts::model::HostState;
 use crate::ids::HostId;
 use crate::node::Node;
@@ -18,8 +19,6 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
-/// A member takes others' parts only once it has been there this long.
-const SETTLED: Micros = 5 * SECOND;
 /// How often peers talk.
 const HELLO: Micros = SECOND / 2;
 /// So many calls to a peer must fail in a row before it counts as unreachable.
@@ -30,6 +29,8 @@
 const LOOK: Micros = SECOND / 4;
 /// What a peer said of its machines counts for so long.
 const UP_HEARD: Micros = 3 * SECOND;
+/// That a peer does not reach the state service counts for so long.
+const OUTAGE_HEARD: Micros = 4 * SECOND;
 /// A message between controllers names so many of them at most.
 const UP_MOST: usize = 500;
 /// How long a controller that workers could not reach wants no parts.
@@ -42,6 +43,9 @@
     heard: Micros,
     /// Whether it reaches the state service.
     state_ok: bool,
+    /// When we asked the question that it answered by saying that it does not. What it says unasked may
+    /// be old: messages that a cut held back arrive when it is over, those of earlier lives as well.
+    without_state: Option<Micros>,
     /// Calls to it that failed in a row.
     missed: u32,
     /// Whom it cannot reach.
@@ -92,9 +96,20 @@
     pub fn common_outage(&self, siblings: usize, now: Micros) -> bool {
         let peers = self.peers.borrow();
         peers.len() == siblings
-            && peers
-                .values()
-                .all(|p| now.saturating_sub(p.heard) < 4 * SECOND && !p.state_ok)
+            && peers.values().all(|p| {
+                p.without_state
+                    .is_some_and(|at| now.saturating_sub(at) < OUTAGE_HEARD)
+            })
+    }
+}
+
+/// Since when a peer is known not to reach the state service: only its answer to a question of ours
+/// shows that it still did not when we asked. That it does is believed of any message.
+fn without_state(ok: bool, asked: Option<Micros>, before: Option<Micros>) -> Option<Micros> {
+    match (ok, asked) {
+        (true, _) => None,
+        (false, Some(at)) => Some(at),
+        (false, None) => before,
     }
 }
 
@@ -102,8 +117,8 @@
     /// Holds a lease, and the member key on it.
     pub async fn lease_loop(self: Rc<Node>) {
         let ttl = self.policy.member_ttl;
-        let mut written: Option<(u64, bool)> = None;
-        let mut since = 0;
+        // What our key should say, while we hold a lease.
+        let mut wanted: Option<Member> = None;
         loop {
             match self.members.lease.get() {
                 None => {
@@ -111,7 +126,9 @@
                         && let Ok(id) = self.feed.client().lease(ttl).await
                     {
                         self.members.lease.set(Some(id));
-                        since = wall();
+                        let v = self.feed.view();
+                        let before = v.members.get(self.me());
+                        wanted = Some(Member::begin(before, id, VERSION, wall()));
                     } else {
                         self.sleep(SECOND / 4).await;
                         continue;
@@ -127,30 +144,20 @@
                     Err(e) => tracing::debug!("renew: {e}"),
                 },
             }
-            let shunned = self.members.shunned.get().is_some();
-            let Some(id) = self.members.lease.get() else {
+            let (Some(life), Some(m)) = (self.life(), &mut wanted) else {
                 continue;
             };
-            if written != Some((id, shunned)) {
-                let me = Member {
-                    lease: id,
-                    since,
-                    shunned,
-                    version: VERSION,
-                };
-                let t = Txn {
-                    guards: Vec::new(),
-                    then: vec![Change::Put {
-                        put: keys::member(self.me()),
-                        v: to_value(&me),
-                        permit: Some(id),
-                    }],
-                };
+            m.shunned = self.members.shunned.get().is_some();
+            let t = claim::name(&self.feed.view(), life, m);
+            if let Some(t) = t {
                 match self.feed.txn(&t).await {
-                    Outcome::Done(_) => {
-                        written = Some((id, shunned));
-                    }
+                    Outcome::Done(_) => {}
                     Outcome::Refused(400) => self.members.lease.set(None),
+                    // Somebody wrote it meanwhile: a request of an earlier life that came late.
+                    Outcome::Conflict(_) => {
+                        self.feed.barrier().await;
+                        continue;
+                    }
                     _ => {}
                 }
             }
@@ -235,47 +242,18 @@
     }
 
     fn wanted_parts(&self) -> Option<Txn> {
-        let lease = self.members.lease.get()?;
+        let life = self.life()?;
         let v = self.feed.view();
-        let me = v.members.get(self.me()).filter(|m| m.lease == lease)?;
-        if wall().saturating_sub(me.since) < SECOND && v.members.len() == 1 && v.parts.is_empty() {
-            // At the very start the others come up within moments: one round of taking is enough.
-            return None;
-        }
         let ops = self.state_limits().txn_ops;
-        let settled = wall().saturating_sub(SETTLED);
-        let want = assign(&v.parts, &self.living(&v), settled);
         let mut raise = self.members.raise.borrow_mut();
-        let member = keys::member(self.me());
-        let mut t = Txn {
-            guards: vec![v.guard(member.as_str())],
-            then: Vec::new(),
-        };
-        for n in 0..PARTS {
-            if want.get(&n).map(String::as_str) != Some(self.me()) {
-                continue;
-            }
-            let have = v.parts.get(&n);
-            let ours = have.is_some_and(|p| p.owner == self.me() && p.lease == lease);
-            if (ours && !raise.remove(&n)) || t.then.len() >= ops {
-                continue;
-            }
-            let key = keys::part(n);
-            t.guards.push(Guard {
-                path: key.clone(),
-                stamp: v.stamp(&key),
-            });
-            t.then.push(Change::Put {
-                put: key,
-                v: to_value(&Part {
-                    owner: self.me().to_string(),
-                    lease,
-                    term: have.map_or(0, |p| p.term) + 1,
-                }),
-                permit: None,
-            });
-        }
-        (!t.then.is_empty()).then_some(t)
+        claim::parts(&v, &self.living(&v), life, &mut raise, wall(), ops)
+    }
+
+    /// This life of us, while its lease runs as far as we know.
+    fn life(&self) -> Option<Life<'_>> {
+        let lease = self.members.lease.get()?;
+        let node = self.me();
+        Some(Life { node, lease })
     }
 
     /// Gives our parts up when it is us whom the workers cannot reach.
@@ -312,30 +290,14 @@
     /// Becomes the leader if there is none. True while we lead.
     pub async fn leads(&self) -> bool {
         let t = {
-            let v = self.feed.view();
-            let Some(lease) = self.members.lease.get() else {
+            let Some(life) = self.life() else {
                 return false;
             };
-            if v.members.get(self.me()).is_none_or(|m| m.lease != lease) {
-                return false;
-            }
-            match &v.leader {
-                Some(l) if l.node == self.me() && l.lease == lease => return true,
-                Some(l) if l.node != self.me() && self.living(&v).contains_key(&l.node) => {
-                    return false;
-                }
-                _ => {}
-            }
-            Txn {
-                guards: vec![v.guard(keys::LEADER)],
-                then: vec![Change::Put {
-                    put: keys::LEADER.into(),
-                    v: to_value(&Leader {
-                        node: self.me().to_string(),
-                        lease,
-                    }),
-                    permit: Some(lease),
-                }],
+            let v = self.feed.view();
+            match claim::lead(&v, &self.living(&v), life, wall()) {
+                Lead::Ours => return true,
+                Lead::Other => return false,
+                Lead::Vacant(t) => t,
             }
         };
         match self.feed.txn(&t).await {
@@ -371,13 +333,14 @@
             up: self.up_unwritten(),
         };
         let body = Some(pack(&h));
+        let asked = self.clock.now();
         let a = self
             .http
             .call(s.addr, Method::Post, PEER, body, SECOND)
             .await;
         match a.ok().and_then(|a| unpack::<Hello>(&a.body)) {
             Some(p) => {
-                self.note_peer(p);
+                self.note_peer(p, Some(asked));
             }
             None => {
                 let mut peers = self.members.peers.borrow_mut();
@@ -448,7 +411,8 @@
             .collect()
     }
 
-    fn note_peer(&self, p: Hello) {
+    /// What a peer says, of itself or `asked` by us at this time.
+    fn note_peer(&self, p: Hello, asked: Option<Micros>) {
         if !self.settings.siblings.iter().any(|s| s.name == p.node) {
             return;
         }
@@ -457,15 +421,16 @@
         up.retain(|_, (_, at)| now.saturating_sub(*at) < UP_HEARD);
         up.extend(p.up.into_iter().map(|(id, s)| (id.into(), (s, now))));
         drop(up);
-        self.members.peers.borrow_mut().insert(
-            p.node,
-            PeerState {
-                heard: self.clock.now(),
-                state_ok: p.state_ok,
-                missed: 0,
-                unreachable: p.unreachable,
-            },
-        );
+        let mut peers = self.members.peers.borrow_mut();
+        let before = peers.get(&p.node).and_then(|x| x.without_state);
+        let state = PeerState {
+            heard: now,
+            state_ok: p.state_ok,
+            without_state: without_state(p.state_ok, asked, before),
+            missed: 0,
+            unreachable: p.unreachable,
+        };
+        peers.insert(p.node, state);
     }
 
     /// Answers a peer.
@@ -484,7 +449,7 @@
         if missing {
             self.members.bounced.set(now);
         }
-        self.note_peer(h);
+        self.note_peer(h, None);
         let me = Hello {
             node: self.me().to_string(),
             state_ok: self.feed.current(),
--- a/src/members/mod.rs
+++ b/src/members/mod.rs
@@ -1,9 +1,11 @@
 //! Membership, leadership and ownership of parts.
 
+pub mod claim;
 mod keep;
 
 pub use keep::Membership;
 
+use crate::time::{Micros, SECOND};
 use fnv::FnvHasher;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -38,6 +40,67 @@
     /// The layout that it reads and writes; versions before the second say nothing.
     #[serde(rename = "v", default)]
     pub version: u32,
+    /// Lives of this name that ended one soon after the other, up to the one before this.
+    #[serde(rename = "e", default, skip_serializing_if = "never")]
+    pub ends: u32,
+}
+
+fn never(ends: &u32) -> bool {
+    *ends == 0
+}
+
+/// A member is given others' parts only once it has been there this long.
+const SETTLED: Micros = 5 * SECOND;
+/// A life that lasted so long ended for reasons of its own: counting starts again.
+const STEADY: Micros = 60 * SECOND;
+/// Each further end doubles the time to settle, so many times at most.
+const DOUBLED: u32 = 3;
+
+impl Member {
+    /// What a new life under `lease` says of itself, from what the life before left in its key, if that
+    /// is still there. A process that is back within the lease of its past meets that key, and takes
+    /// it over; one that ends again and again is told apart by the count.
+    pub fn begin(before: Option<&Member>, lease: u64, version: u32, now: Micros) -> Member {
+        let ends = match before.filter(|m| m.lease != lease) {
+            Some(m) if now.saturating_sub(m.since) < STEADY => m.ends.saturating_add(1),
+            Some(_) => 1,
+            None => 0,
+        };
+        Member {
+            lease,
+            since: now,
+            shunned: false,
+            version,
+            ends,
+        }
+    }
+
+    /// Whether it has been there for long enough to be given what others own.
+    fn settled(&self, now: Micros) -> bool {
+        let doubled = self.ends.saturating_sub(1).min(DOUBLED);
+        now.saturating_sub(self.since) >= SETTLED << doubled
+    }
+
+    /// Whether it ended more than once lately and may do so again: parts that it takes now stand still
+    /// until it does, and each time their machines must be fenced anew. With one that ended each
+    /// second no report of its machines was answered for longer than their lease.
+    fn doubtful(&self, now: Micros) -> bool {
+        self.ends >= 2 && !self.settled(now)
+    }
+}
+
+/// Those among members who are not doubtful; all of them if there is nobody else.
+fn steady<'a>(
+    members: impl Iterator<Item = (&'a String, &'a Member)>,
+    now: Micros,
+) -> Vec<&'a String> {
+    let all: Vec<(&String, &Member)> = members.collect();
+    let sure = all.iter().filter(|(_, m)| !m.doubtful(now));
+    let list: Vec<&String> = sure.map(|(n, _)| *n).collect();
+    if list.is_empty() {
+        return all.into_iter().map(|(n, _)| n).collect();
+    }
+    list
 }
 
 /// The leader; its key hangs on its lease.
@@ -92,11 +155,12 @@
     (hash(host) % u64::from(PARTS)) as u32
 }
 
-/// Who should own each part: sticky, then the member with the fewest, ties by rendezvous hash.
+/// Who should own each part at this time of day: sticky, then the member with the fewest among those
+/// who do not end again and again, ties by rendezvous hash.
 pub fn assign(
     parts: &BTreeMap<u32, Part>,
     members: &BTreeMap<String, Member>,
-    settled_before: u64,
+    now: Micros,
 ) -> BTreeMap<u32, String> {
     let willing: Vec<&String> = members
         .iter()
@@ -124,12 +188,14 @@
         }
     }
     let weight = |part: u32, node: &str| hash(&format!("{part}@{node}"));
+    let takers = steady(members.iter().filter(|(n, _)| candidates.contains(n)), now);
     for n in 0..PARTS {
         if out.contains_key(&n) {
             continue;
         }
         let Some((best, _)) = load
             .iter()
+            .filter(|(node, _)| takers.contains(node))
             .min_by_key(|(node, l)| (**l, u64::MAX - weight(n, node)))
         else {
             continue;
@@ -144,7 +210,7 @@
     loop {
         let to = load
             .iter()
-            .filter(|(n, _)| members.get(**n).is_some_and(|m| m.since <= settled_before))
+            .filter(|(n, _)| members.get(**n).is_some_and(|m| m.settled(now)))
             .min_by_key(|(_, l)| **l)
             .map(|(n, l)| (*n, *l));
         let from = load.iter().max_by_key(|(_, l)| **l).map(|(n, l)| (*n, *l));
@@ -190,8 +256,8 @@
             let parts: BTreeMap<u32, Part> = owners.iter().enumerate()
                 .map(|(i, o)| (i as u32, Part { owner: names[*o].into(), lease: *o as u64, term: 3 })).collect();
             let members: BTreeMap<String, Member> = (0..3).filter(|i| alive[*i])
-                .map(|i| (names[i].to_string(), Member { lease: i as u64, since: 0, shunned: shunned[i], version: 0 })).collect();
-            let out = assign(&parts, &members, 0);
+                .map(|i| (names[i].to_string(), Member { lease: i as u64, since: 0, shunned: shunned[i], version: 0, ends: 0 })).collect();
+            let out = assign(&parts, &members, SETTLED);
             prop_assert_eq!(out.len(), if members.is_empty() { 0 } else { PARTS as usize });
             prop_assert!(out.values().all(|o| members.contains_key(o)));
             let mut load: BTreeMap<&String, i32> = members.iter().filter(|(_, m)| !m.shunned).map(|(n, _)| (n, 0)).collect();
@@ -202,7 +268,7 @@
             // Asking again after the answer was carried out changes nothing.
             let again: BTreeMap<u32, Part> = out.iter()
                 .map(|(n, o)| (*n, Part { owner: o.clone(), lease: members[o].lease, term: 4 })).collect();
-            prop_assert_eq!(assign(&again, &members, 0), out);
+            prop_assert_eq!(assign(&again, &members, SETTLED), out);
         }
     }
 }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -63,6 +63,18 @@
     pub steps: bool,
     /// Also place on machines that are still booting: to see what will be missing then.
     pub forecast: bool,
+    /// How much of it can be written; `None` for all of it.
+    pub writes: Option<Writes<'a>>,
+}
+
+/// What can be written of a plan: what comes behind is not worked out. While hundreds of jobs wait for
+/// writes, a whole plan for the few that can be written was a third of a controller's processor time.
+#[derive(Clone, Copy)]
+pub struct Writes<'a> {
+    /// So many jobs.
+    pub jobs: usize,
+    /// Whether a job has a transaction under way: what is planned for it is not written now.
+    pub busy: &'a dyn Fn(&JobId) -> bool,
 }
 
 /// A plan.
@@ -404,8 +416,20 @@
     // Kinds of tasks for which no machine had room: room only becomes less.
     let mut full: HashSet<Kind<'_>> = HashSet::new();
     let mut stuck: HashSet<(Kind<'_>, Rank)> = HashSet::new();
+    // Jobs with something to write. Arrays are written after all others, so that they never use up what
+    // those behind them could have.
+    let (mut firsts, mut arrays) = (0, 0);
     for e in &queue {
         let spec = &e.job.spec;
+        let array = spec.kind == Shape::Array && !e.job.step();
+        if let Some(w) = &s.writes {
+            if firsts >= w.jobs {
+                break;
+            }
+            if array && arrays >= w.jobs {
+                continue;
+            }
+        }
         let turn = e.turn_at_limit();
         let headroom = teams.headroom(spec, turn);
         // What a limit keeps waiting waits for no machine.
@@ -515,6 +539,9 @@
         let counted = if s.forecast { missing } else { 0 };
         teams.start(spec, got.len() as i64 + i64::from(counted), turn);
         if !got.is_empty() && !s.forecast {
+            if s.writes.is_some_and(|w| !(w.busy)(e.id)) {
+                *if array { &mut arrays } else { &mut firsts } += 1;
+            }
             out.intents.push(Intent::Place {
                 job: e.id.clone(),
                 tasks: got,
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -88,7 +88,7 @@
                 budget: (level, BURST),
                 limits: LIMITS,
                 capped: &|_| false,
-                plan: &|_, _, _| Vec::new(),
+                plan: &|_| Vec::new(),
                 now: (100 + round) * SECOND,
             });
             let changes: usize = staged.iter().map(|s| s.txn.then.len()).sum();
@@ -117,7 +117,7 @@
             budget,
             limits: LIMITS,
             capped: &|_| false,
-            plan: &|_, _, _| Vec::new(),
+            plan: &|_| Vec::new(),
             now,
         })
     };
--- a/tests/grown.rs
+++ b/tests/grown.rs
@@ -119,6 +119,7 @@
             arrays: true,
             steps: true,
             forecast: false,
+            writes: None,
         })
         .intents
     }
--- a/tests/pipelines.rs
+++ b/tests/pipelines.rs
@@ -226,6 +226,7 @@
                 since: 0,
                 shunned: false,
                 version,
+                ends: 0,
             };
             (name(n), m)
         });
@@ -787,6 +788,7 @@
         since: 0,
         shunned: false,
         version,
+        ends: 0,
     };
     let names = ["a", "b", "c"];
     let two = BTreeMap::from([("a".into(), v(2)), ("b".into(), v(2))]);
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -135,6 +135,7 @@
         arrays: true,
         steps: true,
         forecast: false,
+        writes: None,
     })
     .intents
 }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -155,6 +155,7 @@
                 since: 0,
                 shunned: false,
                 version: 0,
+                ends: 0,
             };
             self.store.put(key, &m);
         }
@@ -180,7 +181,7 @@
 
     fn parts(&mut self, n: usize) {
         let node = &self.nodes[n];
-        let want = assign(&node.view.parts, &node.view.members, 0);
+        let want = assign(&node.view.parts, &node.view.members, self.now);
         let mut t = Txn::default();
         for p in 0..PARTS {
             let have = node.view.parts.get(&p);
@@ -282,6 +283,7 @@
             arrays: true,
             steps: true,
             forecast: false,
+            writes: None,
         });
         intents.extend(p.intents);
         let mut sessions = Vec::new();
--- a/tests/teams.rs
+++ b/tests/teams.rs
@@ -139,6 +139,7 @@
             arrays: true,
             steps: true,
             forecast,
+            writes: None,
         })
     }
 
