Machines at rest are not looked at each second; a watch rests while reads tell the same

Cause: beside plans, a controller of 2,016 machines spends its time on comparing every machine with its blocks each second, on calls to machines with replicas (more of them than reports), on changes that the watch and the reads for users both tell, and on decisions about machines four times a second.

Change: each second only machines that are not as they should be or silent are looked at, all of them each five; calls divide the time between two reports, and the first without an answer has all machines called at once for three seconds; the watch waits while reads for users follow each other; the leader decides twice a second. Tests for the calls, for plans within the writes at hand and for passes in debt.

--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -27,9 +27,11 @@
 const PASS_REST: u64 = 4;
 /// A control pass at least this often.
 const IDLE_PASS: Micros = SECOND / 5;
-/// Every machine is compared with its blocks this often, and at most this part of the time goes into
-/// it. What changes meanwhile is seen when it does.
-const SWEEP: Micros = SECOND;
+/// Machines that are not as they should be, or silent, are compared with their blocks this often.
+const CHECK: Micros = SECOND;
+/// Every machine is, and at most this part of the time goes into it. What changes meanwhile is seen when
+/// it does.
+const SWEEP: Micros = 5 * SECOND;
 /// Silent machines are looked for, and machines' keys written, this often.
 const SILENT: Micros = SECOND / 5;
 const SWEEP_REST: u64 = 12;
@@ -56,6 +58,7 @@
     busy: RefCell<HashSet<JobId>>,
     /// What machines' reports prove about attempts, and the blocks do not say yet.
     lefts: RefCell<BTreeMap<HostId, Vec<Intent>>>,
+    checked: Cell<Micros>,
     swept: Cell<Micros>,
     sweep_every: Cell<Micros>,
     hosts_at: Cell<Micros>,
@@ -96,12 +99,18 @@
         let full = now.saturating_sub(self.control.swept.get()) >= self.control.sweep_every.get();
         let mut dirty = self.fleet.take_dirty();
         dirty.extend(self.feed.take_touched());
+        let check = now.saturating_sub(self.control.checked.get()) >= CHECK;
+        if check {
+            self.control.checked.set(now);
+            dirty.extend(self.fleet.restless(self.settings.report * 5 / 4, now));
+            dirty.extend(self.control.lefts.borrow().keys().cloned());
+        }
         let mut staged: Vec<Staged> = Vec::new();
         {
             let view = self.feed.view();
             self.share(&view);
             let state = (view.hosts_epoch, terms.clone());
-            if full || *self.control.adopted.borrow() != state {
+            if check || *self.control.adopted.borrow() != state {
                 self.adopt_machines(&view, &terms, now);
                 *self.control.adopted.borrow_mut() = state;
             }
--- a/src/hosts/lead.rs
+++ b/src/hosts/lead.rs
@@ -24,8 +24,8 @@
 /// The leader looks this often.
 const LOOK: Micros = SECOND / 4;
 /// It decides on machines this often, and spends at most this part of its time on it.
-const DECIDE: Micros = SECOND / 4;
-const DECIDE_REST: u64 = 10;
+const DECIDE: Micros = SECOND / 2;
+const DECIDE_REST: u64 = 20;
 /// Machine types, for their prices.
 const TYPES_EVERY: Micros = 60 * SECOND;
 /// The cloud takes so many machines back at most with one request.
--- a/src/store/feed.rs
+++ b/src/store/feed.rs
@@ -17,6 +17,9 @@
 const WATCH_PAUSE: Micros = 40 * MILLI;
 const BARRIER_PAUSE: Micros = 40 * MILLI;
 const WATCH_WAIT: Micros = SECOND;
+/// While reads that users asked for follow each other no later than this, they tell everything: a watch
+/// beside them would have every change sent and read twice.
+const TOLD: Micros = 80 * MILLI;
 /// A view that was not read for so long counts as cut off from the state service.
 const STALE: Micros = 3 * SECOND;
 /// How often jobs are looked for of which nothing is known, and how many of them each time.
@@ -87,6 +90,8 @@
     loaded: Cell<bool>,
     /// A moment at which the view was known to be current.
     fresh_at: Cell<Micros>,
+    /// When a read that somebody asked for was answered last.
+    told_at: Cell<Micros>,
     bell: Bell,
     barriers: async_channel::Sender<async_channel::Sender<bool>>,
     barrier_queue: async_channel::Receiver<async_channel::Sender<bool>>,
@@ -106,6 +111,7 @@
             view: RefCell::default(),
             loaded: Cell::new(false),
             fresh_at: Cell::new(0),
+            told_at: Cell::new(0),
             bell: Bell::default(),
             barriers,
             barrier_queue,
@@ -240,6 +246,10 @@
                 }
                 continue;
             }
+            if self.clock.now().saturating_sub(self.told_at.get()) < TOLD {
+                sleep(WATCH_PAUSE / 2).await;
+                continue;
+            }
             let after = self.view.borrow().rev;
             match self.client.watch(keys::ALL, after, WATCH_WAIT).await {
                 Ok(log) => {
@@ -283,6 +293,7 @@
             let ok = match self.client.watch(keys::ALL, after, 0).await {
                 Ok(log) => {
                     self.take_log(log, begun);
+                    self.told_at.set(self.clock.now());
                     true
                 }
                 Err(WireError::Status(410)) => {
--- a/src/workers/drive.rs
+++ b/src/workers/drive.rs
@@ -10,7 +10,7 @@
 use crate::store::client::Outcome;
 use crate::store::keys;
 use crate::store::view::View;
-use crate::time::{Micros, SECOND, from_secs, wall};
+use crate::time::{Micros, SECOND, to_secs, wall};
 use crate::wire::server::Reply;
 use crate::wire::state::Txn;
 use crate::wire::worker::{ORDERS, Order, Orders, Redirect, Report, TaskStatus};
@@ -32,8 +32,12 @@
 /// Machines with replicas are called when nothing was heard of them for so long, with little time
 /// to answer: a hung one is found in half the time that reports would take.
 const CALL: Micros = 4 * SECOND / 5;
-/// Calls a second that a whole core may spend on this: an eighth of it, at 0.3 ms each.
-const CALLS: f64 = 400.0;
+/// Calls a second that a whole core may spend on this: a thirteenth of it, at 0.3 ms each.
+const CALLS: f64 = 250.0;
+/// Machines fail in numbers as often as alone: after the first call without an answer all are called as
+/// soon as can be, for so long, and not again before this.
+const ALARM: Micros = 3 * SECOND;
+const ALARM_AGAIN: Micros = 10 * SECOND;
 const CALL_LIMIT: Micros = 2 * SECOND / 5;
 
 /// The same direct order is not repeated sooner.
@@ -77,6 +81,10 @@
     redirected: RefCell<HashMap<String, Redirected>>,
     /// After which silence machines with replicas are called.
     call_every: Cell<Micros>,
+    /// When a machine that had answered before went without an answer.
+    alarm: Cell<Micros>,
+    /// Machines that are not as they should be: looked at each second until they are.
+    restless: RefCell<HashSet<HostId>>,
     /// Writes that gave machines up: each has a name of its own.
     marks: Cell<u64>,
 }
@@ -94,6 +102,24 @@
     pub fn take_dirty(&self) -> HashSet<HostId> {
         self.dirty.take()
     }
+    /// Machines that are not as they should be, or of which nothing was heard for a while: what follows
+    /// from the others was seen when something was heard of them, or written about them.
+    pub fn restless(&self, quiet: Micros, now: Micros) -> HashSet<HostId> {
+        let mut out = self.restless.borrow().clone();
+        let machines = self.machines.borrow();
+        let silent = |m: &Machine| now.saturating_sub(m.heard) > quiet;
+        let list = machines.iter().filter(|(_, m)| !m.fenced() || silent(m));
+        out.extend(list.map(|(id, _)| id.clone()));
+        out
+    }
+    /// After which silence machines with replicas are called.
+    fn call_every(&self, now: Micros) -> Micros {
+        let usual = self.call_every.get();
+        if now.saturating_sub(self.alarm.get()) < ALARM {
+            return usual.min(CALL);
+        }
+        usual
+    }
     /// Whether a job's tasks failed so lately that it is not tried now.
     pub fn backs_off(&self, job: &str, now: Micros) -> bool {
         let failing = self.failing.borrow();
@@ -484,6 +510,7 @@
     pub fn overdue(&self, now: Micros, dirty: &mut HashSet<HostId>) {
         let view = self.feed.view();
         let mut machines = self.fleet.machines.borrow_mut();
+        let call_every = self.fleet.call_every(now);
         for (id, m) in machines.iter_mut() {
             if m.busy || now < m.not_before {
                 continue;
@@ -492,7 +519,7 @@
             if std::mem::take(&mut m.not_before) > 0
                 || !m.fenced()
                 || self.quiet(silent)
-                || (silent > self.fleet.call_every.get() && replicas(&view, id))
+                || (silent > call_every && replicas(&view, id))
             {
                 dirty.insert(id.clone());
             }
@@ -512,9 +539,13 @@
         let heard = newest_word(&machines);
         if only.is_none() {
             let n = machines.keys().filter(|id| replicas(&view, id)).count();
-            self.fleet
-                .call_every
-                .set(call_every(n, self.settings.core_share));
+            let every = call_every(n, self.settings.core_share, self.settings.report);
+            self.fleet.call_every.set(every);
+        }
+        let calls = self.fleet.call_every(now);
+        let mut restless = self.fleet.restless.borrow_mut();
+        if only.is_none() {
+            restless.clear();
         }
         let all: Vec<HostId> = match only {
             Some(d) => d.iter().cloned().collect(),
@@ -534,8 +565,13 @@
             let list = if m.fenced() {
                 let silent = now.saturating_sub(m.heard);
                 let quiet = self.quiet(silent);
-                let call = quiet || (silent > self.fleet.call_every.get() && replicas(&view, id));
+                let call = quiet || (silent > calls && replicas(&view, id));
                 let mut l = orders(&view, id, m, false);
+                if l.is_empty() {
+                    restless.remove(id);
+                } else {
+                    restless.insert(id.clone());
+                }
                 if quiet || (m.probe_failed > 0 && now.saturating_sub(m.probe_failed) < UNSURE) {
                     // It may be gone. A start would only become one more that may run late; a
                     // stop may end a cancelled task there, and the answer tells that it lives.
@@ -615,6 +651,10 @@
                     tracing::debug!(machine = %id, "orders: {e}");
                 }
                 m.not_before = now + SECOND / 4;
+                let alarm = &self.fleet.alarm;
+                if m.missed == 0 && now.saturating_sub(alarm.get()) > ALARM_AGAIN {
+                    alarm.set(now);
+                }
                 m.miss(heard, now);
                 drop(machines);
                 self.http.forget(addr);
@@ -630,9 +670,38 @@
     view.load(id).services > 0
 }
 
-/// After which silence machines with replicas are called: soon, but so that the calls take no more
-/// than a part of our processor time.
-fn call_every(machines: usize, core_share: f64) -> Micros {
+/// After which silence machines with replicas are called: so that the calls divide the time between two
+/// reports evenly, with as many of them as take no more than a part of our processor time.
+fn call_every(machines: usize, core_share: f64, report: Micros) -> Micros {
     let share = if core_share > 0.0 { core_share } else { 1.0 };
-    CALL.max(from_secs(machines as f64 / (share * CALLS)))
+    let calls = share * CALLS * to_secs(report) / machines.max(1) as f64;
+    (report / (calls as u64 + 1)).max(CALL)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// One call more than divides the time between reports finds nothing sooner; none at all leaves that
+    /// to the reports.
+    #[test]
+    fn calls_divide_the_time_between_reports() {
+        let every = |machines| call_every(machines, 0.4, 5 * SECOND);
+        assert_eq!(every(10), CALL);
+        assert_eq!(every(200), 5 * SECOND / 3);
+        assert_eq!(every(400), 5 * SECOND / 2);
+        assert_eq!(every(501), 5 * SECOND);
+    }
+
+    /// While one machine after the other goes without an answer, the others are not left to wait.
+    #[test]
+    fn after_a_call_without_an_answer_all_are_called_soon() {
+        let f = Fleet::default();
+        f.call_every.set(5 * SECOND / 2);
+        let now = 100 * SECOND;
+        assert_eq!(f.call_every(now), 5 * SECOND / 2);
+        f.alarm.set(now);
+        assert_eq!(f.call_every(now + SECOND), CALL);
+        assert_eq!(f.call_every(now + ALARM), 5 * SECOND / 2);
+    }
 }
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -127,3 +127,33 @@
     assert_eq!(staged.len(), 4);
     assert!(staged.iter().all(|j| v.jobs[j].cancelled()));
 }
+
+/// Nothing is planned while nothing can be written; arrays that waited long for their share still are, and
+/// then all of them, since they may have more than what is left.
+#[test]
+fn nothing_is_planned_in_debt() {
+    let (v, lefts) = view(4, 0);
+    let mut rounds = Rounds::default();
+    let mut wishes = |now, level| {
+        let seen = std::cell::RefCell::new(Vec::new());
+        rounds.decide(&Pass {
+            view: &v,
+            lefts: &lefts,
+            busy: &HashSet::default(),
+            budget: (level, 30.0),
+            limits: LIMITS,
+            capped: &|_| false,
+            plan: &|w| {
+                seen.borrow_mut().push((w.arrays, w.writes));
+                Vec::new()
+            },
+            now,
+        });
+        seen.into_inner()
+    };
+    const NOW: u64 = 100 * SECOND;
+    wishes(NOW, 30.0);
+    assert_eq!(wishes(NOW + SECOND / 2, -1.0), []);
+    assert_eq!(wishes(NOW + SECOND / 2, 4.0), [(false, Some(16))]);
+    assert_eq!(wishes(NOW + 2 * SECOND, -1.0), [(true, None)]);
+}
