Reports and calls that change nothing end there

Cause: each report had its orders worked out again, and each answer to a call had its machine compared with its blocks and rang for a pass, although most say what the one before said; machines were adopted anew in each pass while some came or went, which on a large fleet is always.

--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -62,8 +62,15 @@
     swept: Cell<Micros>,
     sweep_every: Cell<Micros>,
     hosts_at: Cell<Micros>,
-    /// The machines' epoch and our terms when machines were adopted last.
-    adopted: RefCell<(u64, Vec<Option<u64>>)>,
+    adopted: RefCell<Adopted>,
+}
+
+/// The machines' epoch and our terms when machines were adopted last, and when that was.
+#[derive(Default)]
+struct Adopted {
+    epoch: u64,
+    terms: Vec<Option<u64>>,
+    at: Micros,
 }
 
 impl Node {
@@ -109,10 +116,19 @@
         {
             let view = self.feed.view();
             self.share(&view);
-            let state = (view.hosts_epoch, terms.clone());
-            if check || *self.control.adopted.borrow() != state {
+            // Machines come and go all the time on a large fleet.
+            let came = {
+                let adopted = self.control.adopted.borrow();
+                let due = now.saturating_sub(adopted.at) >= SILENT;
+                adopted.terms != terms || (due && adopted.epoch != view.hosts_epoch)
+            };
+            if check || came {
                 self.adopt_machines(&view, &terms, now);
-                *self.control.adopted.borrow_mut() = state;
+                *self.control.adopted.borrow_mut() = Adopted {
+                    epoch: view.hosts_epoch,
+                    terms: terms.clone(),
+                    at: now,
+                };
             }
             if self.feed.current() {
                 self.look(&view, full, &dirty, now);
--- a/src/workers/drive.rs
+++ b/src/workers/drive.rs
@@ -189,8 +189,10 @@
         let newer = (r.shift, r.tick) > (m.session, m.tick);
         let news = m.take(&r, false, now);
         m.answered = Some(now);
-        let list = if newer {
+        // Most reports say what the one before said, and nothing was written about the machine since.
+        let list = if newer && (!m.rests || view.touched.contains(&host)) {
             let mut l = orders(&view, &host, m, true);
+            m.rests = l.is_empty();
             l.truncate(PER_ANSWER);
             l
         } else {
@@ -552,7 +554,12 @@
             None => machines.keys().cloned().collect(),
         };
         for id in &all {
-            let (Some(m), Some(h)) = (machines.get_mut(id), view.hosts.get(id)) else {
+            let Some(m) = machines.get_mut(id) else {
+                continue;
+            };
+            m.rests = false;
+            m.passed_over = m.busy;
+            let Some(h) = view.hosts.get(id) else {
                 continue;
             };
             let Some(addr) = m.addr.filter(|_| !m.busy && now >= m.not_before) else {
@@ -629,6 +636,8 @@
             return;
         };
         m.busy = false;
+        // The answer to a call that gave no orders and found nothing new leaves everything as it was.
+        let mut look = true;
         match res {
             Ok(a) if a.status == 200 || a.status == 409 => {
                 if a.status == 409 {
@@ -638,6 +647,7 @@
                     Ok(r) if *r.deckhand == *id => {
                         m.answered_direct(&list);
                         let news = m.take(&r, true, now);
+                        look = news.changed || !list.is_empty() || !m.fenced() || m.passed_over;
                         drop(machines);
                         self.learn(&id, news, now);
                     }
@@ -660,8 +670,10 @@
                 self.http.forget(addr);
             }
         }
-        self.fleet.dirty.borrow_mut().insert(id);
-        self.feed.bell().ring();
+        if look {
+            self.fleet.dirty.borrow_mut().insert(id);
+            self.feed.bell().ring();
+        }
     }
 }
 
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -88,6 +88,10 @@
     counted: HashSet<Attempt>,
     /// Direct orders sent lately.
     lately: Vec<(Micros, Order)>,
+    /// Something changed while direct orders were under way: it is looked at once they are answered.
+    pub passed_over: bool,
+    /// Nothing was to be ordered in the answer to the newest report, and nothing has changed since.
+    pub rests: bool,
 }
 
 /// A task that finished, for the fairness counts.
@@ -137,6 +141,8 @@
             about: None,
             counted: HashSet::new(),
             lately: Vec::new(),
+            passed_over: false,
+            rests: false,
         }
     }
 
@@ -204,6 +210,7 @@
         }
         if r.baton == self.term && (self.fenced.is_none() || new_session) {
             self.fenced = Some(now);
+            news.changed = true;
         }
         self.heard = now;
         self.missed = 0;
@@ -260,6 +267,7 @@
             news.changed = true;
         }
         self.tasks = tasks;
+        self.rests &= !news.changed;
         self.counted
             .retain(|(j, i, _)| self.tasks.contains_key(&(j.clone(), *i)));
         self.errors.retain(|(at, _)| now - at < 120 * SECOND);
