A plan follows what is taken of the machine that was taken last

Cause: the kept order of machines for a kind of task skipped further takings from the last machine in its log. From the second job of a kind on, a full machine stayed the best one, nothing fitted on it, and the job waited although others had room: of ten services and ten arrays on twenty empty machines eight were placed by one plan. The forecast counted the rest as lacking machines.

Change: the last entry of the log is looked at again. Test: a plan for few writes is the beginning of the whole, which fails without it.

--- a/src/placement/spots.rs
+++ b/src/placement/spots.rs
@@ -13,7 +13,7 @@
 /// The machines.
 pub(super) struct Spots<'a> {
     pub(super) list: Vec<Spot<'a>>,
-    /// Machines of which something was taken, in that order.
+    /// Machines of which something was taken, in that order, one that is the last already not again.
     log: Vec<usize>,
     /// Kinds of tasks that were asked for.
     asked: HashSet<Key<'a>>,
@@ -29,7 +29,7 @@
 struct Ranked {
     set: BTreeSet<(Score, usize)>,
     at: HashMap<usize, Score>,
-    /// How much of the log it has followed.
+    /// How much of the log it has followed for good: of the last machine there more may be taken since.
     seen: usize,
 }
 
@@ -130,7 +130,7 @@
             let ranked = Ranked {
                 set: all.into_iter().collect(),
                 at,
-                seen: self.log.len(),
+                seen: self.log.len().saturating_sub(1),
             };
             self.ranked.insert(key, ranked);
             return;
@@ -152,7 +152,7 @@
                 r.set.insert((s, *k));
             }
         }
-        r.seen = self.log.len();
+        r.seen = self.log.len().saturating_sub(1);
     }
 }
 
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -5,9 +5,9 @@
 use common::LIMITS;
 use coppergw::hosts::model::{Host, HostState};
 use coppergw::jobs::commit::{Intent, Limits, stage};
-use coppergw::jobs::model::{Block, Record, Room, Spec};
+use coppergw::jobs::model::{Block, JobId, Record, Room, Spec};
 use coppergw::members::{PARTS, Part};
-use coppergw::placement::{Open, Scene, allowed, plan};
+use coppergw::placement::{Open, Scene, Writes, allowed, plan};
 use coppergw::settings::Team;
 use coppergw::store::keys;
 use coppergw::store::view::View;
@@ -115,6 +115,10 @@
 }
 
 fn scene_plan(v: &View) -> Vec<Intent> {
+    plan_for(v, None)
+}
+
+fn plan_for(v: &View, writes: Option<Writes<'_>>) -> Vec<Intent> {
     let teams = teams();
     plan(&Scene {
         view: v,
@@ -135,7 +139,7 @@
         arrays: true,
         steps: true,
         forecast: false,
-        writes: None,
+        writes,
     })
     .intents
 }
@@ -390,3 +394,51 @@
         "no half gang, and no new attempt before the old one left: {stops:?}"
     );
 }
+
+/// A plan for so many jobs begins as the whole plan does; jobs with a transaction under way are planned
+/// for, so that nobody takes their room, and do not count. Arrays, which are written last, never use up
+/// what services could have.
+#[test]
+fn a_plan_for_few_writes_is_the_beginning_of_the_whole() {
+    let mut v = View::default();
+    v.put(keys::TYPES, &to_value(&types()), 1);
+    for k in 0..20 {
+        let h = Host {
+            kind: "small".into(),
+            zone: "a".into(),
+            spot: false,
+            addr: None,
+            session: 1,
+            state: HostState::Up,
+            rented: 0,
+        };
+        v.put(&keys::host(&format!("m-{k:02}")), &to_value(&h), 2 + k);
+    }
+    for k in 0..20u64 {
+        let kind = if k < 10 { Shape::Service } else { Shape::Array };
+        let s = Spec {
+            submitted: k * SECOND,
+            // Arrays before services in the queue.
+            rank: if k < 10 { Rank::Low } else { Rank::Normal },
+            team: "free".into(),
+            ..common::spec(kind, 1)
+        };
+        v.put(&keys::job(&format!("req-{k:02}")), &record(&s), 50 + k);
+    }
+    let placed = |list: &[Intent], kind: Shape| -> Vec<JobId> {
+        let jobs = list.iter().map(|i| i.job());
+        let of = jobs.filter(|j| v.jobs[*j].spec.kind == kind);
+        of.cloned().collect()
+    };
+    let whole = scene_plan(&v);
+    let services = placed(&whole, Shape::Service);
+    let arrays = placed(&whole, Shape::Array);
+    assert_eq!((services.len(), arrays.len()), (10, 10));
+    let few = |jobs, busy: &dyn Fn(&JobId) -> bool| plan_for(&v, Some(Writes { jobs, busy }));
+    let some = few(3, &|_| false);
+    assert_eq!(placed(&some, Shape::Array), arrays[..3]);
+    assert_eq!(placed(&some, Shape::Service), services[..3]);
+    let first = services[0].clone();
+    let more = few(3, &|j| *j == first);
+    assert_eq!(placed(&more, Shape::Service), services[..4]);
+}
