Passes for services alone look at services alone; one that ends often settles for 10 s

Cause: by profile, passes went through all waiting jobs several times to find the services among them, and opened the account of teams that have no limits.

Change: the index knows the services that wait; a plan without arrays and steps looks at these alone; the account adds up what waits only if a team has a guarantee or a limit; calls are counted anew whenever machines are adopted; 10 s to settle at most.

--- a/benches/growth.rs
+++ b/benches/growth.rs
@@ -12,7 +12,7 @@
 use coppergw::store::view::View;
 use coppergw::time::SECOND;
 use coppergw::wire::cloud::MachineType;
-use coppergw::wire::state::{Event, Log};
+use coppergw::wire::state::{Event, Item, Log, Page};
 use coppergw::wire::user::{Rank, Shape};
 use coppergw::wire::worker::{Report, TaskReport, TaskStatus};
 use coppergw::wire::{decode, encode, to_value};
@@ -365,6 +365,38 @@
     });
 }
 
+/// A controller starts into a full fleet: the lists as they come from the state service, up to the first
+/// plan. Sizes of the fleet files, half as many machines again, and twice that.
+#[divan::bench(args = [1_344, 2_016, 4_000])]
+fn from_the_lists_to_the_first_plan(b: Bencher<'_, '_>, n: usize) {
+    let pages: Vec<Vec<u8>> = keys_of_fleet(n, n / 10)
+        .chunks(500)
+        .map(|chunk| {
+            let items = chunk.iter().enumerate();
+            encode(&Page {
+                items: items
+                    .map(|(k, (path, v))| Item {
+                        path: path.clone(),
+                        v: v.clone(),
+                        stamp: k as u64 + 1,
+                    })
+                    .collect(),
+                more: true,
+                ledger_rev: n as u64,
+            })
+        })
+        .collect();
+    b.bench_local(|| {
+        let mut v = View::default();
+        for page in &pages {
+            for i in decode::<Page>(page).map(|p| p.items).unwrap_or_default() {
+                v.put(&i.path, &i.v, i.stamp);
+            }
+        }
+        planned(&v, false)
+    });
+}
+
 /// A plan in which one job is new and nothing else waits; 50 machines are empty whatever the size.
 #[divan::bench(args = SIZES)]
 fn one_job_changed(b: Bencher<'_, '_>, n: usize) {
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -10,7 +10,7 @@
 use crate::node::Node;
 use crate::placement::{self, Open, Scene, Writes};
 use crate::store::client::Outcome;
-use crate::store::view::View;
+use crate::store::view::{Job, View};
 use crate::time::{MILLI, Micros, SECOND, wall};
 use crate::wire::user::Shape;
 use crate::workers::{self, Machine};
@@ -231,12 +231,10 @@
         // Jobs belong to parts as machines do.
         let mine = |name: &str| terms[part_of(name) as usize].is_some();
         let gangs = wish.steps && terms[GANGS as usize].is_some();
-        let queued = |kind| {
-            let jobs = view.waiting().filter(move |(_, j)| j.spec.kind == kind);
-            jobs.filter(|(_, j)| j.queued() > 0)
-        };
-        let waits = gangs && queued(Shape::Gang).next().is_some();
-        let serves = queued(Shape::Service).any(|(id, _)| mine(id));
+        let gang = |j: &Job| j.spec.kind == Shape::Gang && j.queued() > 0;
+        let waits = gangs && view.waiting().any(|(_, j)| gang(j));
+        let mut services = view.waiting_services().filter(|(_, j)| j.queued() > 0);
+        let serves = services.any(|(id, _)| mine(id));
         let open = |id: &HostId, h: &Host| {
             if !matches!(h.state, HostState::Up | HostState::Booting) {
                 return None;
--- a/src/members/mod.rs
+++ b/src/members/mod.rs
@@ -53,8 +53,9 @@
 const SETTLED: Micros = 5 * SECOND;
 /// A life that lasted so long ended for reasons of its own: counting starts again.
 const STEADY: Micros = 60 * SECOND;
-/// Each further end doubles the time to settle, so many times at most.
-const DOUBLED: u32 = 3;
+/// With the second end the time to settle doubles. Longer would leave one controller with all machines for
+/// as long after the last end.
+const DOUBLED: u32 = 1;
 
 impl Member {
     /// What a new life under `lease` says of itself, from what the life before left in its key, if that
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -278,9 +278,11 @@
         need: Room::default(),
         waits: false,
     };
-    gpus.waits = v
-        .waiting()
-        .any(|(_, j)| j.spec.room.gpus > 0 && j.queued() > 0);
+    // A pass for services alone looks at these alone: nobody else is offered what GPUs leave.
+    let all_wait = s.forecast || s.arrays || s.steps;
+    gpus.waits = all_wait
+        && v.waiting()
+            .any(|(_, j)| j.spec.room.gpus > 0 && j.queued() > 0);
     for [cpus, g, memory] in v.index().gpu_rooms.keys() {
         gpus.need = Room {
             cpus: gpus.need.cpus.max(*cpus),
@@ -292,7 +294,10 @@
         tidy(s, &mut out.intents);
     }
     let mut queue: Vec<Entry<'_>> = Vec::new();
-    for (id, job) in v.waiting() {
+    let all = all_wait.then(|| v.waiting());
+    let services = (!all_wait).then(|| v.waiting_services());
+    let waiting = all.into_iter().flatten();
+    for (id, job) in waiting.chain(services.into_iter().flatten()) {
         let kind = job.spec.kind;
         let queued = if s.forecast {
             v.queued_soon(job)
--- a/src/store/view.rs
+++ b/src/store/view.rs
@@ -15,7 +15,7 @@
 use crate::wire::cloud::MachineType;
 use crate::wire::from_value;
 use crate::wire::state::Guard;
-use crate::wire::user::Rank;
+use crate::wire::user::{Rank, Shape};
 use ciborium::Value;
 use foldhash::{HashMap, HashSet, HashSetExt};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -110,6 +110,8 @@
 pub struct Index {
     /// Jobs with tasks that wait, whether they may start or not.
     pub waiting: BTreeSet<JobId>,
+    /// The services among them: few as a rule, and looked for in each pass.
+    pub services: BTreeSet<JobId>,
     /// Jobs that are over: what is left is to write their end.
     pub over: BTreeSet<JobId>,
     /// What each team's placed tasks take.
@@ -925,6 +927,11 @@
             id,
             j.is_some_and(|j| j.waiting > 0),
         );
+        set(
+            &mut self.index.services,
+            id,
+            j.is_some_and(|j| j.waiting > 0 && j.spec.kind == Shape::Service),
+        );
         set(&mut self.index.over, id, j.is_some_and(Job::over));
     }
 
@@ -951,7 +958,19 @@
 
     /// Jobs with tasks that wait, whether they may start or not.
     pub fn waiting(&self) -> impl Iterator<Item = (&JobId, &Job)> {
-        let ids = self.index.waiting.iter();
+        self.jobs_of(&self.index.waiting)
+    }
+
+    /// The services among them.
+    pub fn waiting_services(&self) -> impl Iterator<Item = (&JobId, &Job)> {
+        self.jobs_of(&self.index.services)
+    }
+
+    fn jobs_of<'a>(
+        &'a self,
+        ids: &'a BTreeSet<JobId>,
+    ) -> impl Iterator<Item = (&'a JobId, &'a Job)> {
+        let ids = ids.iter();
         ids.filter_map(|id| Some((id, self.jobs.get(id)?)))
     }
 
--- a/src/teams/mod.rs
+++ b/src/teams/mod.rs
@@ -70,8 +70,11 @@
             (u.cpus, u.gpus, u.wanted_cpus, u.wanted_gpus) = (r.cpus, r.gpus, r.cpus, r.gpus);
         }
         let mut claims: HashMap<&str, Claims> = HashMap::default();
+        // Without guarantees and limits nobody asks what is wanted.
+        let bound = |t: &Team| t.cpus > 0 || t.gpus > 0 || t.cpus_max > 0 || t.gpus_max > 0;
+        let asked = teams.iter().any(bound).then(|| v.waiting());
         // What waits for other jobs holds no part of its team's guarantee or limit.
-        for (_, j) in v.waiting().filter(|(_, j)| j.ready) {
+        for (_, j) in asked.into_iter().flatten().filter(|(_, j)| j.ready) {
             let r = &j.spec.room;
             let u = by.entry(&j.spec.team).or_default();
             u.wanted_cpus += r.cpus * i64::from(j.waiting);
--- a/src/workers/drive.rs
+++ b/src/workers/drive.rs
@@ -323,6 +323,9 @@
                 self.fleet.dirty.borrow_mut().insert(id.clone());
             }
         }
+        let n = machines.keys().filter(|id| replicas(view, id)).count();
+        let every = call_every(n, self.settings.core_share, self.settings.report);
+        self.fleet.call_every.set(every);
         let stuck = machines.iter().filter(|(_, m)| {
             m.stuck()
                 && now.saturating_sub(m.heard) < self.settings.report * 2
@@ -559,11 +562,6 @@
         let view = self.feed.view();
         let mut machines = self.fleet.machines.borrow_mut();
         let heard = newest_word(&machines);
-        if only.is_none() {
-            let n = machines.keys().filter(|id| replicas(&view, id)).count();
-            let every = call_every(n, self.settings.core_share, self.settings.report);
-            self.fleet.call_every.set(every);
-        }
         let calls = self.fleet.call_every(now);
         let mut restless = self.fleet.restless.borrow_mut();
         if only.is_none() {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -122,6 +122,9 @@
     for (id, j) in &v.jobs {
         if j.waiting > 0 {
             out.waiting.insert(id.clone());
+            if j.spec.kind == Shape::Service {
+                out.services.insert(id.clone());
+            }
         }
         if (j.cancelled() && j.placed == 0) || j.done == j.spec.tasks {
             out.over.insert(id.clone());
