A machine with tasks is given up although its key says that it boots

Change: tasks are placed only on what is up, so a machine that has some is given up like any other. Test in workers.

--- a/src/members/keep.rs
+++ b/src/members/keep.rs
@@ -32,7 +32,7 @@
 /// That a peer does not reach the state service counts for so long.
 const OUTAGE_HEARD: Micros = 4 * SECOND;
 /// That it was up counts for so long.
-const UP_TOLD: Micros = 10 * 60 * SECOND;
+const UP_KNOWN: Micros = 10 * 60 * SECOND;
 /// A message between controllers names so many of them at most.
 pub const UP_MOST: usize = 500;
 /// How long a controller that workers could not reach wants no parts.
@@ -423,7 +423,7 @@
         }
         let now = self.clock.now();
         let mut up = self.members.peers_up.borrow_mut();
-        up.retain(|_, (_, at)| now.saturating_sub(*at) < UP_TOLD);
+        up.retain(|_, (_, at)| now.saturating_sub(*at) < UP_KNOWN);
         up.extend(p.up.into_iter().map(|(id, s)| (id.into(), (s, now))));
         drop(up);
         let mut peers = self.members.peers.borrow_mut();
--- a/src/workers/drive.rs
+++ b/src/workers/drive.rs
@@ -398,7 +398,8 @@
                 w.state = HostState::Draining;
             }
         }
-        if w.state != HostState::Booting && m.given_up(self.policy.lost_after, now, alone) {
+        let has_tasks = self.feed.view().tasks_on(id).is_some();
+        if m.lost(w.state, has_tasks, (self.policy.lost_after, now, alone)) {
             let silent = now.saturating_sub(m.heard);
             tracing::info!(machine = %id, silent, "silent: given up");
             w.state = HostState::Lost;
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -7,6 +7,7 @@
 
 pub use drive::Fleet;
 
+use crate::hosts::model::HostState;
 use crate::ids::HostId;
 use crate::jobs::commit::Intent;
 use crate::jobs::model::{JobId, Placement, parse_task, task_name};
@@ -175,6 +176,18 @@
         self.dead || (silent > 2 * lost_after && !alone)
     }
 
+    /// Whether its key should say that it is lost. One that boots has nothing to lose; but tasks are placed
+    /// only on what is up, so one that has some is, although its owner ended before that was written. The
+    /// tasks of such machines waited for the end of a cut until their lease ended them.
+    pub fn lost(
+        &self,
+        state: HostState,
+        has_tasks: bool,
+        (lost_after, now, alone): (Micros, Micros, bool),
+    ) -> bool {
+        (state != HostState::Booting || has_tasks) && self.given_up(lost_after, now, alone)
+    }
+
     /// Notes direct orders that go out.
     pub fn note(&mut self, list: &[Order], now: Micros) {
         self.lately
@@ -720,6 +733,19 @@
         assert!(!m.dead, "one miss is not enough");
     }
 
+    /// A machine of an owner that ended before it wrote that the machine is up: cut off as well, it shows
+    /// the new owner no token and has no address in its key, so nobody can call it.
+    #[test]
+    fn a_machine_with_tasks_is_given_up_although_its_key_says_that_it_boots() {
+        let m = Machine::new(5, 100 * SECOND);
+        let lost = |state, has, now| m.lost(state, has, (5 * SECOND, now, false));
+        let late = 111 * SECOND;
+        assert!(!lost(HostState::Booting, false, late), "it may come up yet");
+        assert!(!lost(HostState::Booting, true, 105 * SECOND));
+        assert!(lost(HostState::Booting, true, late));
+        assert!(lost(HostState::Up, false, late));
+    }
+
     /// Machines that were only taken over count for nothing when it is asked whether others are heard.
     #[test]
     fn a_machine_taken_over_has_said_nothing() {
