--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! What the tests share: a job, a machine type, limits and a state service of their own.
 #![allow(dead_code)]
 
-use coppergw::hosts::model::HostState;
+use coppergw::hosts::model::{Host, HostState};
 use coppergw::jobs::commit::Limits;
 use coppergw::jobs::model::{Load, Room, Spec};
 use coppergw::store::view::{Index, View};
@@ -53,6 +53,19 @@
     }
 }
 
+/// An ordinary machine of a type that is up.
+pub fn up(kind: &str) -> Host {
+    Host {
+        kind: kind.into(),
+        zone: "a".into(),
+        spot: false,
+        addr: None,
+        session: 1,
+        state: HostState::Up,
+        rented: 0,
+    }
+}
+
 /// A machine type of one zone.
 pub fn machine_type(sku: &str, cores: f64, gpus: f64) -> MachineType {
     MachineType {
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -242,15 +242,7 @@
     let build = |rank| {
         let mut v = View::default();
         v.put(keys::TYPES, &to_value(&types()), 1);
-        let h = Host {
-            kind: "small".into(),
-            zone: "a".into(),
-            spot: false,
-            addr: None,
-            session: 1,
-            state: HostState::Up,
-            rented: 0,
-        };
+        let h = common::up("small");
         v.put(&keys::host("m-1"), &to_value(&h), 2);
         let base = Spec {
             team: "free".into(),
@@ -403,15 +395,7 @@
     let mut v = View::default();
     v.put(keys::TYPES, &to_value(&types()), 1);
     for k in 0..20 {
-        let h = Host {
-            kind: "small".into(),
-            zone: "a".into(),
-            spot: false,
-            addr: None,
-            session: 1,
-            state: HostState::Up,
-            rented: 0,
-        };
+        let h = common::up("small");
         v.put(&keys::host(&format!("m-{k:02}")), &to_value(&h), 2 + k);
     }
     for k in 0..20u64 {
--- a/tests/teams.rs
+++ b/tests/teams.rs
@@ -74,15 +74,7 @@
             f.store.put(keys::part(n), &p);
         }
         for i in 0..machines {
-            let h = Host {
-                kind: "cpu".into(),
-                zone: "a".into(),
-                spot: false,
-                addr: None,
-                session: 1,
-                state: HostState::Up,
-                rented: 0,
-            };
+            let h = common::up("cpu");
             f.store.put(keys::host(&format!("m-{i:06}")), &h);
         }
         f
