A leader's memory begins when it starts to look, also the first time

Cause: a controller that leads at its first look remembered 0 as the time since when it leads, so that the five seconds in which a new leader takes no machine for late, because it has not heard its peers yet, did not hold for it.

Change: one way to begin the memory, at the start and after the lead was lost.

--- a/src/hosts/lead.rs
+++ b/src/hosts/lead.rs
@@ -96,20 +96,27 @@
     returning: Rc<RefCell<HashSet<HostId>>>,
 }
 
+impl Memory {
+    /// Nothing remembered, from this time on.
+    fn from(since: Micros) -> Memory {
+        Memory {
+            since,
+            ..Memory::default()
+        }
+    }
+}
+
 impl Node {
     /// Leads while we are the leader.
     pub async fn lead_loop(self: Rc<Node>) {
-        let mut mem = Memory::default();
+        let mut mem = Memory::from(self.clock.now());
         loop {
             self.sleep(LOOK).await;
             if !self.feed.loaded() || !self.feed.current() {
                 continue;
             }
             if !self.leads().await {
-                mem = Memory {
-                    since: self.clock.now(),
-                    ..Memory::default()
-                };
+                mem = Memory::from(self.clock.now());
                 continue;
             }
             self.lead(&mut mem).await;
