Reports are answered while every confirmed cancellation is known, outage or not

Cause: an owner refused by the state service alone and then caught in an outage of all took it for one in which nobody can have cancelled anything, since every peer was without the service now. Cancellations that another had confirmed between the two were kept alive for as long as the outage lasted. Now: controllers ask each other what was cancelled after the revision of their own view; an owner knows all up to when all siblings answered, or its own read began, and answers reports only so long after that.

--- a/crates/base/src/wire/peer.rs
+++ b/crates/base/src/wire/peer.rs
@@ -20,6 +20,26 @@
     /// Machines of the sender that are up although their keys do not say so yet: name, session.
     #[serde(default)]
     pub up: Vec<(String, u64)>,
+    /// The revision up to which the sender's view holds everything. What the receiver knows of
+    /// cancellations after it is its word.
+    #[serde(default)]
+    pub rev: u64,
+    /// In an answer: what was asked for. A controller that cannot tell, and one of the version before,
+    /// gives none.
+    #[serde(default)]
+    pub word: Option<Word>,
+}
+
+/// All that a controller knows of cancellations after a revision. Whatever it told a user before it gave
+/// this is in it, and what earlier lives of it told, too.
+#[derive(Clone, Debug, Deserialize, Serialize, Default, PartialEq, Eq)]
+pub struct Word {
+    /// The revision that was asked about.
+    pub after: u64,
+    /// Jobs that were cancelled after it, and by which revision they were.
+    pub withdrawn: Vec<(String, u64)>,
+    /// Whether these are all. A list that does not fit is cut, and says so.
+    pub whole: bool,
 }
 
 /// Path of users' requests that a controller without the state service passes on.
--- a/src/members/keep.rs
+++ b/src/members/keep.rs
@@ -1,6 +1,7 @@
 //! Keeping membership, leadership and parts; talking with peers.
 
 use super::claim::{self, Lead, Life};
+use super::word::{Words, word};
 use super::{Member, VERSION, Version, all_know};
 use crate::hosts::model::HostState;
 use crate::ids::HostId;
@@ -54,6 +55,10 @@
     unreachable: Vec<String>,
 }
 
+/// A list of cancellations between controllers names so many of them at most; a longer one is cut and
+/// vouches for nothing.
+const WORD_MOST: usize = 2_000;
+
 /// Our own membership, and the peers as we hear them.
 #[derive(Default)]
 pub struct Membership {
@@ -66,6 +71,8 @@
     peers: RefCell<HashMap<String, PeerState>>,
     /// Peers' machines that are up before their keys say so: session, when that was said.
     peers_up: RefCell<HashMap<HostId, (u64, Micros)>>,
+    /// Up to when each peer told us of every cancellation that it may have confirmed.
+    words: RefCell<Words>,
     /// When a peer told us that machines of ours come back to it.
     bounced: Cell<Micros>,
     /// When we looked last whether it is us whom the workers cannot reach.
@@ -339,6 +346,8 @@
             unreachable: self.unreachable(),
             bounced,
             up: self.up_unwritten(),
+            rev: self.feed.view().rev,
+            word: None,
         };
         let body = Some(pack(&h));
         let asked = self.clock.now();
@@ -348,6 +357,11 @@
             .await;
         match a.ok().and_then(|a| unpack::<Hello>(&a.body)) {
             Some(p) => {
+                // Only the answer to a question of ours tells up to when it vouches.
+                let mut words = self.members.words.borrow_mut();
+                let list = words.take(&s.name, asked, h.rev, &p);
+                drop(words);
+                self.feed.hear_withdrawn(list);
                 self.note_peer(p, Some(asked));
             }
             None => {
@@ -438,6 +452,13 @@
         peers.insert(p.node, state);
     }
 
+    /// Up to when every cancellation that any controller may have confirmed is known here.
+    pub fn informed(&self) -> Micros {
+        let names = self.settings.siblings.iter().map(|s| s.name.as_str());
+        let words = self.members.words.borrow();
+        words.informed(self.feed.whole_at(), names, self.clock.now())
+    }
+
     /// Answers a peer.
     pub fn on_hello(&self, body: &[u8]) -> Reply {
         let Some(h) = unpack::<Hello>(body) else {
@@ -454,13 +475,17 @@
         if missing {
             self.members.bounced.set(now);
         }
+        let after = h.rev;
         self.note_peer(h, None);
+        let word = word(&self.feed.view(), self.feed.loaded(), after, WORD_MOST);
         let me = Hello {
             node: self.me().to_string(),
             state_ok: self.feed.current(),
             unreachable: self.unreachable(),
             bounced: Vec::new(),
             up: self.up_unwritten(),
+            rev: self.feed.view().rev,
+            word,
         };
         Reply {
             status: 200,
--- a/src/members/mod.rs
+++ b/src/members/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod claim;
 mod keep;
+pub mod word;
 
 pub use keep::{Membership, UP_MOST};
 
--- a/src/store/feed.rs
+++ b/src/store/feed.rs
@@ -90,6 +90,8 @@
     loaded: Cell<bool>,
     /// A moment at which the view was known to be current.
     fresh_at: Cell<Micros>,
+    /// When the read began that showed it so: whatever was written by then is in the view.
+    whole_at: Cell<Micros>,
     /// When a read that somebody asked for was answered last.
     told_at: Cell<Micros>,
     bell: Bell,
@@ -111,6 +113,7 @@
             view: RefCell::default(),
             loaded: Cell::new(false),
             fresh_at: Cell::new(0),
+            whole_at: Cell::new(0),
             told_at: Cell::new(0),
             bell: Bell::default(),
             barriers,
@@ -153,6 +156,26 @@
         self.blind(self.clock.now()) < STALE
     }
 
+    /// Up to when everything that was written is surely in the view. An answer may have waited in a
+    /// socket while this process stood still, so it counts from when its question began.
+    pub fn whole_at(&self) -> Micros {
+        self.whole_at.get()
+    }
+
+    /// What a peer says of cancellations that the view does not show yet.
+    pub fn hear_withdrawn(&self, list: &[(String, u64)]) {
+        let mut v = self.view.borrow_mut();
+        let before = v.epoch;
+        for (id, stamp) in list {
+            v.hear_withdrawn(id, *stamp);
+        }
+        let changed = v.epoch != before;
+        drop(v);
+        if changed {
+            self.bell.ring();
+        }
+    }
+
     /// Runs a transaction; what it wrote is in the view before the watch tells it.
     pub async fn txn(&self, t: &Txn) -> Outcome {
         let out = self.client.txn(t).await;
@@ -162,7 +185,9 @@
         out
     }
 
-    fn take_log(&self, log: Log, begun: Micros) {
+    /// `begun`: when the question was asked; `fresh`: when its answer was surely not given yet, or a guess
+    /// at when it was.
+    fn take_log(&self, log: Log, begun: Micros, fresh: Micros) {
         let mut v = self.view.borrow_mut();
         let before = v.epoch;
         for e in &log.log {
@@ -174,9 +199,8 @@
         v.rev = v.rev.max(log.ledger_rev);
         let changed = v.epoch != before;
         drop(v);
-        if self.fresh_at.get() < begun {
-            self.fresh_at.set(begun);
-        }
+        self.fresh_at.set(self.fresh_at.get().max(fresh));
+        self.whole_at.set(self.whole_at.get().max(begun));
         if changed {
             self.bell.ring();
         }
@@ -216,7 +240,7 @@
             let after = self.view.borrow().rev;
             let begun = self.clock.now();
             let log = self.client.watch(keys::ALL, after, 0).await?;
-            self.take_log(log, begun);
+            self.take_log(log, begun, begun);
             if self.view.borrow().rev >= hi {
                 break;
             }
@@ -251,12 +275,13 @@
                 continue;
             }
             let after = self.view.borrow().rev;
+            let begun = self.clock.now();
             match self.client.watch(keys::ALL, after, WATCH_WAIT).await {
                 Ok(log) => {
-                    say(away.answered(self.clock.now()));
-                    // The answer left the service at most a while ago.
-                    let begun = self.clock.now().saturating_sub(SECOND / 2);
-                    self.take_log(log, begun);
+                    let now = self.clock.now();
+                    say(away.answered(now));
+                    // As a rule the answer left the service at most a while ago.
+                    self.take_log(log, begun, now.saturating_sub(SECOND / 2));
                     sleep(WATCH_PAUSE).await;
                 }
                 Err(WireError::Status(410)) => self.loaded.set(false),
@@ -292,7 +317,7 @@
             let after = self.view.borrow().rev;
             let ok = match self.client.watch(keys::ALL, after, 0).await {
                 Ok(log) => {
-                    self.take_log(log, begun);
+                    self.take_log(log, begun, begun);
                     self.told_at.set(self.clock.now());
                     true
                 }
--- a/src/store/view.rs
+++ b/src/store/view.rs
@@ -43,6 +43,8 @@
     /// A job that it needs, directly or through others, is cancelled: then so is this one. It never
     /// started, since that one never got done.
     pub doomed: bool,
+    /// A peer said that it is cancelled, ahead of its record: in the state service it is.
+    pub told: bool,
     /// From when its waits count: its submission, or the end of the last job that it needed.
     pub since: Micros,
     /// Its own rank, or the highest of those that need it.
@@ -62,7 +64,7 @@
 impl Job {
     /// Whether it is cancelled, by its own user or with a job that it needs.
     pub fn cancelled(&self) -> bool {
-        self.spec.cancelled || self.doomed
+        self.spec.cancelled || self.doomed || self.told
     }
     /// Whether what is left is to write its end: all done, or cancelled with nothing placed.
     pub fn over(&self) -> bool {
@@ -191,11 +193,16 @@
     pub images: HashMap<HostId, HashSet<String>>,
     /// Counts changes, so that loops know when to look again.
     pub epoch: u64,
+    /// Cancellations by the revision at which the record was seen to say so: what peers ask for.
+    withdrawn: BTreeSet<(u64, JobId)>,
+    /// Those up to this revision may be missing from it.
+    withdrawn_from: u64,
 }
 
 const TOMBS: usize = 20_000;
 const FINALS: usize = 20_000;
 const ENDS: usize = 5_000;
+const WITHDRAWN: usize = 20_000;
 
 impl View {
     /// Version of a key; 0 if it does not exist.
@@ -293,6 +300,52 @@
         }
     }
 
+    /// Every cancellation after a revision that is known here, with a revision at which it stood, in that
+    /// order; `None` if some were let go of. Of jobs that were over when the view was loaded nothing is said:
+    /// nothing of them was on any machine whose worker still obeys an older owner.
+    pub fn withdrawn_after(&self, rev: u64) -> Option<impl Iterator<Item = &(u64, JobId)>> {
+        let from = (rev.saturating_add(1), JobId::from(""));
+        (rev >= self.withdrawn_from).then(|| self.withdrawn.range(from..))
+    }
+
+    fn note_withdrawn(&mut self, id: &JobId, stamp: u64) {
+        self.withdrawn.insert((stamp, id.clone()));
+        while self.withdrawn.len() > WITHDRAWN {
+            if let Some((rev, _)) = self.withdrawn.pop_first() {
+                self.withdrawn_from = rev;
+            }
+        }
+    }
+
+    /// A peer says that a job was cancelled in the state service by a revision: its tasks have to go although
+    /// its record here does not say so yet. A job that is not known has nothing on machines of ours.
+    pub fn hear_withdrawn(&mut self, id: &str, stamp: u64) {
+        let Some(j) = self.jobs.get_mut(id).filter(|j| !j.cancelled()) else {
+            return;
+        };
+        j.told = true;
+        self.epoch += 1;
+        let id: JobId = id.into();
+        // From here on users may hear it from us, too: it is part of our own word.
+        self.note_withdrawn(&id, stamp);
+        self.settle_withdrawn(&id, true);
+    }
+
+    /// A job's record changed, or was told to: its machines are to be looked at, and, if it was cancelled,
+    /// the jobs around it.
+    fn settle_withdrawn(&mut self, id: &JobId, withdrawn: bool) {
+        let Some(j) = self.jobs.get(id) else { return };
+        let hosts: Vec<HostId> = j.placements().map(|(_, p)| p.host.clone()).collect();
+        let needs = j.needs.clone();
+        self.touched.extend(hosts);
+        self.index_job(id);
+        if let (true, Some(d)) = (withdrawn, self.dependents.get(id)) {
+            let list: Vec<JobId> = d.iter().cloned().collect();
+            self.refresh(list);
+            self.inherit(needs);
+        }
+    }
+
     /// Jobs that ended lately, in the order in which that was heard.
     pub fn ends(&self) -> impl Iterator<Item = &End> {
         self.ends.iter()
@@ -416,6 +469,10 @@
                 let id: JobId = id.into();
                 match v.and_then(from_value::<AnyRecord>) {
                     Some(AnyRecord(spec, first)) => {
+                        let before = self.jobs.get(&id).is_some_and(|j| j.spec.cancelled);
+                        if spec.cancelled && !before {
+                            self.note_withdrawn(&id, self.stamp(key));
+                        }
                         self.put_job(id.clone(), Rc::new(spec));
                         self.put_stored(&id, 0, Some(first));
                     }
@@ -738,15 +795,7 @@
         if let Some(j) = self.jobs.get_mut(&id) {
             let withdrawn = spec.cancelled != j.spec.cancelled;
             j.spec = spec;
-            let hosts: Vec<HostId> = j.placements().map(|(_, p)| p.host.clone()).collect();
-            self.touched.extend(hosts);
-            self.index_job(&id);
-            if let (true, Some(d)) = (withdrawn, self.dependents.get(&id)) {
-                let list: Vec<JobId> = d.iter().cloned().collect();
-                let needs = self.jobs.get(&id).map(|j| j.needs.clone());
-                self.refresh(list);
-                self.inherit(needs.unwrap_or_default());
-            }
+            self.settle_withdrawn(&id, withdrawn);
             return;
         }
         if spec.room.gpus > 0 {
@@ -766,6 +815,7 @@
                 needs: Vec::new(),
                 ready: alone,
                 doomed: false,
+                told: false,
                 since: spec.submitted,
                 rank: spec.rank,
                 due: spec.deadline.map(|d| spec.submitted + d),
--- a/src/workers/drive.rs
+++ b/src/workers/drive.rs
@@ -42,6 +42,9 @@
 const CALLS_OF_SOCKETS: usize = 10;
 const CALL_LIMIT: Micros = 2 * SECOND / 5;
 
+/// What is left of `cancel` when the last task that we kept alive must have ended by its lease: for clocks
+/// that drift apart and timers that fire late.
+const MARGIN: Micros = 2 * SECOND;
 /// The same direct order is not repeated sooner.
 const REPEAT: Micros = SECOND;
 /// A task that has run for so long shows that its job can run.
@@ -174,7 +177,8 @@
         let Some(term) = self.term(&view, part) else {
             return self.redirect(&view, part, &r.deckhand, now);
         };
-        if !self.may_answer(now) {
+        let (lease, cancel) = (self.settings.lease, self.settings.cancel);
+        if !may_answer(lease, cancel, self.informed(), now) {
             return Reply::status(503);
         }
         if r.baton > term {
@@ -219,15 +223,6 @@
         )
     }
 
-    /// Whether workers may still be kept alive by us. Cut off from the state service alone we would
-    /// not hear of a cancellation; its tasks must be gone `cancel` after it was told, and live for
-    /// `lease` after our last answer.
-    fn may_answer(&self, now: Micros) -> bool {
-        let blind = self.feed.blind(now);
-        let lease = self.settings.lease + self.settings.lease / 1000;
-        blind + lease + 3 * SECOND < self.settings.cancel || self.common_outage()
-    }
-
     fn redirect(&self, view: &View, part: u32, host: &str, now: Micros) -> Reply {
         let Some(p) = view.parts.get(&part) else {
             return Reply::status(503);
@@ -713,6 +708,14 @@
     }
 }
 
+/// Whether workers may still be kept alive by us, who know of every cancellation up to `informed`. The
+/// tasks of any later one must be gone `cancel` after it was told, and live for `lease` after our last
+/// answer. There is no exception: that the state service is away for all now does not mean that it was
+/// when somebody last confirmed a cancellation.
+pub fn may_answer(lease: Micros, cancel: Micros, informed: Micros, now: Micros) -> bool {
+    now.saturating_sub(informed) + lease + lease / 1000 + MARGIN < cancel
+}
+
 /// Whether replicas run on a machine.
 fn replicas(view: &View, id: &HostId) -> bool {
     view.load(id).services > 0
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -5,7 +5,7 @@
 
 mod drive;
 
-pub use drive::Fleet;
+pub use drive::{Fleet, may_answer};
 
 use crate::hosts::model::HostState;
 use crate::ids::HostId;
