A controller without the state service promises to confirm no cancellation for 12 s

Cause: one that ended in an outage could have confirmed a cancellation after its last word, so nobody could count on it and the others' tasks ended by their leases 48 s later. With the promise a life that begins within it vouches for the one before.

--- a/crates/base/src/wire/peer.rs
+++ b/crates/base/src/wire/peer.rs
@@ -40,6 +40,13 @@
     pub withdrawn: Vec<(String, u64)>,
     /// Whether these are all. A list that does not fit is cut, and says so.
     pub whole: bool,
+    /// Of a controller that has not read the state service since it started: how long ago that was, in
+    /// microseconds. It speaks for this life only.
+    #[serde(default)]
+    pub age: Option<u64>,
+    /// For so many microseconds from its answer on it confirms no cancellation, come what may.
+    #[serde(default)]
+    pub holds: u64,
 }
 
 /// Path of users' requests that a controller without the state service passes on.
--- a/src/jobs/front.rs
+++ b/src/jobs/front.rs
@@ -137,6 +137,17 @@
 
     /// The job's state as of now. `Ok(None)`: nobody submitted it. `Err`: cannot tell.
     async fn current(&self, id: &str) -> Result<Option<JobAnswer>, ()> {
+        let a = self.as_of_now(id).await?;
+        // Of a job that is over nothing is on any machine, whoever hears of it late.
+        let confirms = a.as_ref().is_some_and(|a| a.status == Status::Cancelled)
+            && self.feed.view().jobs.contains_key(id);
+        if confirms && self.members.bound(self.clock.now()) {
+            return Err(());
+        }
+        Ok(a)
+    }
+
+    async fn as_of_now(&self, id: &str) -> Result<Option<JobAnswer>, ()> {
         let fin = |a: &JobAnswer| matches!(a.status, Status::Done | Status::Cancelled);
         // A final answer never becomes older.
         let known = self.seen(id);
@@ -335,6 +346,7 @@
                 Ok(Some(a)) if matches!(a.status, Status::Done | Status::Cancelled) => {
                     return Reply::with(200, &a);
                 }
+                Ok(Some(_)) if self.members.bound(self.clock.now()) => return later(),
                 Ok(Some(_)) => {}
                 Ok(None) => return Reply::status(404),
                 Err(()) => return later(),
--- a/src/members/keep.rs
+++ b/src/members/keep.rs
@@ -1,7 +1,7 @@
 //! Keeping membership, leadership and parts; talking with peers.
 
 use super::claim::{self, Lead, Life};
-use super::word::{Words, word};
+use super::word::{Speaker, Words, bound_until, word};
 use super::{Member, VERSION, Version, all_know};
 use crate::hosts::model::HostState;
 use crate::ids::HostId;
@@ -73,6 +73,8 @@
     peers_up: RefCell<HashMap<HostId, (u64, Micros)>>,
     /// Up to when each peer told us of every cancellation that it may have confirmed.
     words: RefCell<Words>,
+    /// Until then we confirm no cancellation: we promised it.
+    bound: Cell<Micros>,
     /// When a peer told us that machines of ours come back to it.
     bounced: Cell<Micros>,
     /// When we looked last whether it is us whom the workers cannot reach.
@@ -97,6 +99,10 @@
             .get(name)
             .is_some_and(|p| p.state_ok && now.saturating_sub(p.heard) < 2 * SECOND)
     }
+    /// Whether we promised to confirm no cancellation now.
+    pub fn bound(&self, now: Micros) -> bool {
+        now < self.bound.get()
+    }
     /// The session of a peer's machine that is up before its key says so, by a peer's last word.
     pub fn up_at_peer(&self, id: &HostId, now: Micros) -> Option<u64> {
         let up = self.peers_up.borrow();
@@ -359,7 +365,8 @@
             Some(p) => {
                 // Only the answer to a question of ours tells up to when it vouches.
                 let mut words = self.members.words.borrow_mut();
-                let list = words.take(&s.name, asked, h.rev, &p);
+                let times = (asked, self.clock.now());
+                let list = words.take(&s.name, times, h.rev, &p);
                 drop(words);
                 self.feed.hear_withdrawn(list);
                 self.note_peer(p, Some(asked));
@@ -475,17 +482,26 @@
         if missing {
             self.members.bounced.set(now);
         }
-        let after = h.rev;
+        let state_ok = self.feed.current();
+        let speaker = Speaker {
+            view: &self.feed.view(),
+            loaded: self.feed.loaded(),
+            state_ok,
+            age: self.clock.age(),
+            most: WORD_MOST,
+        };
+        let word = word(&speaker, &h);
+        let bound = self.members.bound.get().max(bound_until(&word, now));
+        self.members.bound.set(bound);
         self.note_peer(h, None);
-        let word = word(&self.feed.view(), self.feed.loaded(), after, WORD_MOST);
         let me = Hello {
             node: self.me().to_string(),
-            state_ok: self.feed.current(),
+            state_ok,
             unreachable: self.unreachable(),
             bounced: Vec::new(),
             up: self.up_unwritten(),
             rev: self.feed.view().rev,
-            word,
+            word: Some(word),
         };
         Reply {
             status: 200,
--- a/src/members/word.rs
+++ b/src/members/word.rs
@@ -7,37 +7,71 @@
 //! that it may have told users by then, and that earlier lives of it did: these wrote it before they
 //! confirmed it, and this life read everything when it began. Nothing else counts, neither a word unasked,
 //! which may be old, nor a list that was cut, nor silence.
+//!
+//! A controller that ends in an outage takes with it what it confirmed since it last answered. Therefore one
+//! that is without the state service promises others that are as well to confirm nothing for a while, and
+//! keeps to it also when the service is back. A life that begins within that time vouches for the one before.
 
 use crate::store::view::View;
-use crate::time::Micros;
+use crate::time::{Micros, SECOND};
 use crate::wire::peer::{Hello, Word};
 use crate::wire::user::valid_id;
 use foldhash::HashMap;
 
-/// Up to when each sibling vouches that we know of every cancellation that it may have confirmed.
-#[derive(Default)]
-pub struct Words {
-    until: HashMap<String, Micros>,
+/// For so long a controller without the state service confirms no cancellation. More than a process takes
+/// to be back; users who withdraw a job come back every second or so.
+pub const HOLD: Micros = 12 * SECOND;
+
+/// How far two steady clocks drift apart over a time, doubled.
+fn drift(span: Micros) -> Micros {
+    span / 1000
 }
 
-/// What a controller with this view tells of cancellations after a revision. Until the view is `loaded` it
-/// does not know what earlier lives of its name confirmed.
-pub fn word(view: &View, loaded: bool, after: u64, most: usize) -> Option<Word> {
-    if !loaded {
-        return None;
-    }
+/// Who answers.
+pub struct Speaker<'a> {
+    /// Its view.
+    pub view: &'a View,
+    /// Whether the view was loaded since it started. Until then it does not know what earlier lives of its
+    /// name confirmed, and has confirmed nothing itself.
+    pub loaded: bool,
+    /// Whether it reaches the state service.
+    pub state_ok: bool,
+    /// How long ago it started.
+    pub age: Micros,
+    /// So many cancellations fit into a list.
+    pub most: usize,
+}
+
+/// What a controller tells of cancellations when it is asked, and whether it promises to confirm none for
+/// `HOLD` from now on.
+pub fn word(s: &Speaker<'_>, question: &Hello) -> Word {
+    let after = question.rev;
     let mut withdrawn = Vec::new();
-    let mut whole = false;
-    if let Some(mut list) = view.withdrawn_after(after) {
-        let first = list.by_ref().take(most);
+    let mut whole = !s.loaded;
+    let list = s.view.withdrawn_after(after).filter(|_| s.loaded);
+    if let Some(mut list) = list {
+        let first = list.by_ref().take(s.most);
         withdrawn.extend(first.map(|(stamp, id)| (id.to_string(), *stamp)));
         whole = list.next().is_none();
     }
-    Some(Word {
+    // Versions before this one ask about no revision and would not know what to do with it. Who reaches
+    // the service needs no promise, and who does so himself gives none.
+    let hold = whole && !s.state_ok && !question.state_ok && after > 0;
+    Word {
         after,
         withdrawn,
         whole,
-    })
+        age: (!s.loaded).then_some(s.age),
+        holds: if hold { HOLD } else { 0 },
+    }
+}
+
+/// Up to when, by its own clock, one who gave a word at this time confirms no cancellation.
+pub fn bound_until(w: &Word, now: Micros) -> Micros {
+    match w.holds {
+        0 => 0,
+        h => now + h + drift(h),
+    }
 }
 
 /// Whether a word can be the answer to a question about a revision.
@@ -46,16 +80,31 @@
     w.after == after && w.withdrawn.iter().all(sound)
 }
 
+/// What one sibling vouched for.
+#[derive(Default)]
+struct Vouched {
+    /// Up to then we know of every cancellation that it confirmed.
+    until: Micros,
+    /// Up to then it confirms none, unless it is gone.
+    held: Micros,
+}
+
+/// Up to when each sibling vouches that we know of every cancellation that it may have confirmed.
+#[derive(Default)]
+pub struct Words {
+    siblings: HashMap<String, Vouched>,
+}
+
 impl Words {
-    /// Takes in what `sibling` answered to a question that was asked at a time about what was cancelled
-    /// after a revision. Gives the cancellations to act on.
+    /// Takes in what `sibling` answered to a question that was asked and answered at these times about what
+    /// was cancelled after a revision. Gives the cancellations to act on.
     ///
     /// A sibling that reaches the state service vouches for nothing here: it takes over what we own, if we
     /// do not, and should be left to.
     pub fn take<'a>(
         &mut self,
         sibling: &str,
-        asked: Micros,
+        (asked, heard): (Micros, Micros),
         after: u64,
         answer: &'a Hello,
     ) -> &'a [(String, u64)] {
@@ -63,22 +112,27 @@
         let Some(w) = word.filter(|w| answer.node == sibling && fits(w, after)) else {
             return &[];
         };
-        if w.whole && !answer.state_ok {
-            let until = self.until.entry(sibling.to_string()).or_default();
-            *until = asked.max(*until);
+        let v = self.siblings.entry(sibling.to_string()).or_default();
+        // A life that read nothing vouches for earlier ones if they were held until it began.
+        let begun = |age: u64| heard.saturating_sub(age.saturating_sub(drift(age)));
+        let earlier = w.age.is_none_or(|age| begun(age) <= v.held);
+        if w.whole && !answer.state_ok && earlier {
+            v.until = v.until.max(asked);
+            let holds = w.holds.min(HOLD);
+            v.held = v.held.max(asked + holds - drift(holds));
         }
         &w.withdrawn
     }
 
-    /// Up to when every cancellation is known that anyone may have confirmed: `own` by a read of ours, or
-    /// by the words of all siblings. Our own are in our view before they are told.
+    /// Up to when every cancellation is known that anyone may have confirmed: `own` by a read of ours, or by
+    /// the words of all siblings, or for now if there are none. Our own are in our view before they are told.
     pub fn informed<'a>(
         &self,
         own: Micros,
         siblings: impl Iterator<Item = &'a str>,
         now: Micros,
     ) -> Micros {
-        let until = |s| self.until.get(s).copied().unwrap_or(0);
+        let until = |s| self.siblings.get(s).map_or(0, |v| v.until.max(v.held));
         own.max(siblings.map(until).min().unwrap_or(now))
     }
 }
--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -7,11 +7,11 @@
 use coppergw::jobs::commit::withdraw;
 use coppergw::jobs::model::{Block, Placement, Record, Slot};
 use coppergw::jobs::pipelines::answer;
-use coppergw::members::word::{Words, word};
+use coppergw::members::word::{HOLD, Speaker, Words, bound_until, word};
 use coppergw::store::keys;
 use coppergw::store::view::View;
 use coppergw::time::{Micros, SECOND};
-use coppergw::wire::peer::Hello;
+use coppergw::wire::peer::{Hello, Word};
 use coppergw::wire::user::{Shape, Status};
 use coppergw::workers::may_answer;
 use proptest::prelude::*;
@@ -25,7 +25,17 @@
 /// A read of the state service that is under way: when it began, and what it found.
 type Read = (Micros, u64, usize);
 
+/// A question under way.
+#[derive(Clone)]
+struct Question {
+    to: usize,
+    at: Micros,
+    hello: Hello,
+    answer: Option<Hello>,
+}
+
 struct Controller {
+    born: Micros,
     view: View,
     /// How much of the log is in the view.
     seen: usize,
@@ -35,8 +45,9 @@
     /// Whether the state service refuses it alone.
     refused: bool,
     read: Option<Read>,
-    /// Questions under way: to whom, when asked, about which revision, and the answer once it was given.
-    asked: Vec<(usize, Micros, u64, Option<Hello>)>,
+    asked: Vec<Question>,
+    /// Until then it promised to confirm no cancellation.
+    bound: Micros,
 }
 
 struct Task {
@@ -62,8 +73,10 @@
     format!("req-{task:06}")
 }
 
-fn process() -> Controller {
+fn process(born: Micros) -> Controller {
     Controller {
+        born,
+        bound: 0,
         view: View::default(),
         seen: 0,
         loaded: false,
@@ -97,7 +110,7 @@
             now,
             store,
             outage: false,
-            nodes: (0..3).map(|_| process()).collect(),
+            nodes: (0..3).map(|_| process(now)).collect(),
             tasks: (0..TASKS).map(|_| task()).collect(),
             told: vec![None; TASKS],
             short,
@@ -110,6 +123,18 @@
         w
     }
 
+    /// It ends and is back within moments.
+    fn end(&mut self, n: usize) {
+        let refused = self.nodes[n].refused;
+        self.nodes[n] = process(self.now);
+        self.nodes[n].refused = refused;
+    }
+
+    fn state_ok(&self, n: usize) -> bool {
+        let p = &self.nodes[n];
+        p.loaded && self.now - p.whole_at < 3 * SECOND
+    }
+
     fn reaches(&self, n: usize) -> bool {
         !self.outage && !self.nodes[n].refused
     }
@@ -141,7 +166,8 @@
 
     /// A user withdraws a job; a controller that reaches the state service confirms it at once.
     fn withdraw(&mut self, n: usize, task: usize) {
-        if !self.reaches(n) || !self.nodes[n].loaded {
+        let p = &self.nodes[n];
+        if !self.reaches(n) || !p.loaded || self.now < p.bound {
             return;
         }
         self.nodes[n].read = None;
@@ -162,43 +188,70 @@
     /// A user asks how a job is: `cancelled` may come from memory.
     fn ask_state(&mut self, n: usize, task: usize) {
         let a = answer(&self.nodes[n].view, &name(task));
-        if a.is_some_and(|a| a.status == Status::Cancelled) {
+        if a.is_some_and(|a| a.status == Status::Cancelled) && self.now >= self.nodes[n].bound {
             self.told[task].get_or_insert(self.now);
         }
     }
 
     fn ask(&mut self, n: usize, to: usize) {
-        let question = (to, self.now, self.nodes[n].view.rev, None);
-        self.nodes[n].asked.push(question);
+        let hello = Hello {
+            node: NAMES[n].into(),
+            state_ok: self.state_ok(n),
+            rev: self.nodes[n].view.rev,
+            ..Hello::default()
+        };
+        let at = self.now;
+        self.nodes[n].asked.push(Question {
+            to,
+            at,
+            hello,
+            answer: None,
+        });
     }
 
     /// Whoever runs under that name now answers a question that arrives.
     fn give_word(&mut self, n: usize, nth: usize) {
         let most = if self.short { 1 } else { 100 };
         let len = self.nodes[n].asked.len().max(1);
-        let Some((to, _, after, None)) = self.nodes[n].asked.get(nth % len).cloned() else {
+        let q = self.nodes[n].asked.get(nth % len).cloned();
+        let Some(q) = q.filter(|q| q.answer.is_none()) else {
             return;
         };
-        let p = &self.nodes[to];
+        let p = &self.nodes[q.to];
+        let state_ok = self.state_ok(q.to);
+        let w = word(
+            &Speaker {
+                view: &p.view,
+                loaded: p.loaded,
+                state_ok,
+                age: self.now - p.born,
+                most,
+            },
+            &q.hello,
+        );
+        let bound = bound_until(&w, self.now).max(p.bound);
         let hello = Hello {
-            node: NAMES[to].into(),
-            state_ok: self.reaches(to),
+            node: NAMES[q.to].into(),
+            state_ok,
             rev: p.view.rev,
-            word: word(&p.view, p.loaded, after, most),
+            word: Some(w),
             ..Hello::default()
         };
-        self.nodes[n].asked[nth % len].3 = Some(hello);
+        self.nodes[q.to].bound = bound;
+        self.nodes[n].asked[nth % len].answer = Some(hello);
     }
 
     fn hear_word(&mut self, n: usize, nth: usize) {
+        let now = self.now;
         let p = &mut self.nodes[n];
         let len = p.asked.len().max(1);
-        if p.asked.get(nth % len).is_none_or(|q| q.3.is_none()) {
+        if p.asked.get(nth % len).is_none_or(|q| q.answer.is_none()) {
             return;
         }
-        let (to, asked, after, hello) = p.asked.remove(nth % len);
-        let hello = hello.expect("answered");
-        for (id, stamp) in p.words.take(NAMES[to], asked, after, &hello) {
+        let q = p.asked.remove(nth % len);
+        let hello = q.answer.expect("answered");
+        let times = (q.at, now);
+        for (id, stamp) in p.words.take(NAMES[q.to], times, q.hello.rev, &hello) {
             p.view.hear_withdrawn(id, *stamp);
         }
     }
@@ -244,7 +297,7 @@
         match op % 32 {
             0 => self.nodes[n].refused ^= true,
             1 => self.outage ^= true,
-            2 if a.is_multiple_of(8) => self.nodes[n] = process(),
+            2 if a.is_multiple_of(8) => self.end(n),
             3..=5 => self.begin_read(n),
             6..=8 => self.end_read(n),
             9 => self.withdraw(n, task),
@@ -329,18 +382,50 @@
     assert!(w.kept > 10_000);
 }
 
-/// One that is back in an outage cannot tell what its earlier life confirmed: nobody may count on it, and
-/// tasks end by their leases. Here the rule costs kept work.
+/// One that was asked without the state service confirms nothing for a while, so the life that follows at
+/// once vouches for it, and an outage in which a controller ends costs no task of the others.
+#[test]
+fn a_life_that_begins_while_the_one_before_was_bound_vouches_for_it() {
+    let mut w = World::new(false);
+    w.withdraw(1, 0);
+    w.outage = true;
+    (0..10).for_each(|_| w.round());
+    w.end(1);
+    w.withdraw(1, 3);
+    (0..300).for_each(|_| w.round());
+    let others = w.tasks.iter().enumerate().filter(|(k, _)| k % 3 != 1);
+    others.for_each(|(k, t)| assert_eq!(t.gone, k == 0, "task {k}"));
+}
+
+/// Without such a promise one that is back in an outage cannot tell what its earlier life confirmed: nobody
+/// may count on it, and tasks end by their leases. Here the rule costs kept work.
 #[test]
 fn a_life_that_read_nothing_vouches_for_nothing() {
     let mut w = World::new(false);
     w.withdraw(1, 0);
     w.outage = true;
-    w.nodes[1] = process();
+    w.end(1);
     (0..110).for_each(|_| w.round());
     assert!(w.tasks.iter().all(|t| t.gone));
 }
 
+/// The promise holds also when the service is back for the one who gave it, and for that long only.
+#[test]
+fn who_is_bound_confirms_nothing_when_the_service_is_back() {
+    let mut w = World::new(false);
+    w.outage = true;
+    (0..10).for_each(|_| w.round());
+    (w.nodes[0].refused, w.nodes[2].refused) = (true, true);
+    w.outage = false;
+    w.withdraw(1, 0);
+    assert_eq!(w.told[0], None);
+    let span = HOLD / SECOND + 1;
+    (0..span).for_each(|_| w.round());
+    w.withdraw(1, 0);
+    assert_eq!(w.told[0], Some(w.now));
+    (0..110).for_each(|_| w.round());
+}
+
 /// A word counts only if it is whole, fits the question and comes from a controller that is without the
 /// state service as well; what it names is acted on in any case, if it fits.
 #[test]
@@ -350,45 +435,85 @@
     for k in 0..3 {
         let mut s = spec(Shape::Array, 1);
         s.cancelled = true;
-        store.put(
-            keys::job(&name(k)),
-            &Record(s, Block(vec![Slot::Waiting(0)])),
-        );
+        let job = Record(s, Block(vec![Slot::Waiting(0)]));
+        store.put(keys::job(&name(k)), &job);
     }
     for (rev, k, v) in &store.log {
         view.put(k, v.as_ref().expect("put"), *rev);
     }
-    let hello = |after, most| Hello {
+    let say = |after, most, loaded, state_ok, asker_ok| {
+        let speaker = Speaker {
+            view: &view,
+            loaded,
+            state_ok,
+            age: SECOND,
+            most,
+        };
+        let question = Hello {
+            rev: after,
+            state_ok: asker_ok,
+            ..Hello::default()
+        };
+        word(&speaker, &question)
+    };
+    let hello = |word: Word| Hello {
         node: "b".into(),
-        word: word(&view, true, after, most),
+        word: Some(word),
         ..Hello::default()
     };
     let heard = |h: &Hello, after| {
         let mut w = Words::default();
-        let n = w.take("b", SECOND, after, h).len();
-        (n, w.informed(0, ["b"].into_iter(), 9) > 0)
+        let n = w.take("b", (20 * SECOND, 21 * SECOND), after, h).len();
+        (n, w.informed(0, ["b"].into_iter(), 9) / SECOND)
     };
-    assert_eq!(heard(&hello(0, 9), 0), (3, true));
-    assert_eq!(heard(&hello(2, 9), 2), (1, true));
-    assert_eq!(heard(&hello(3, 9), 3), (0, true));
-    assert_eq!(heard(&hello(0, 2), 0), (2, false), "cut");
-    assert_eq!(heard(&hello(1, 9), 0), (0, false), "of another question");
+    let plain = |after, most| hello(say(after, most, true, false, true));
+    assert_eq!(heard(&plain(0, 9), 0), (3, 20));
+    assert_eq!(heard(&plain(2, 9), 2), (1, 20));
+    assert_eq!(heard(&plain(3, 9), 3), (0, 20));
+    assert_eq!(heard(&plain(0, 2), 0), (2, 0), "cut");
+    assert_eq!(heard(&plain(1, 9), 0), (0, 0), "of another question");
     let changed = |f: &dyn Fn(&mut Hello)| {
-        let mut h = hello(0, 9);
+        let mut h = plain(0, 9);
         f(&mut h);
         heard(&h, 0)
     };
-    let none = (0, false);
+    let none = (0, 0);
     assert_eq!(changed(&|h| h.node = "c".into()), none, "somebody else");
     assert_eq!(changed(&|h| h.word = None), none, "the version before");
-    assert_eq!(changed(&|h| h.state_ok = true), (3, false));
+    assert_eq!(changed(&|h| h.state_ok = true), (3, 0));
     let odd = |id: &str, stamp| {
         let entry = (id.to_string(), stamp);
-        changed(&|h| h.word.as_mut().expect("word").withdrawn.push(entry.clone()))
+        changed(&|h| {
+            let w = h.word.as_mut().expect("word");
+            w.withdrawn.push(entry.clone());
+        })
     };
     assert_eq!(odd("req-000009", 0), none, "not after what was asked about");
     assert_eq!(odd("../final", 9), none, "no id");
-    assert_eq!(word(&view, false, 0, 9), None);
+    // Promises: among those without the service only, and none longer than we would give.
+    let promise = |most, state_ok, asker_ok| say(1, most, true, state_ok, asker_ok).holds;
+    assert_eq!(promise(9, false, false), HOLD);
+    assert_eq!(promise(9, true, false), 0);
+    assert_eq!(promise(9, false, true), 0, "it needs none");
+    assert_eq!(promise(1, false, false), 0, "cut");
+    assert_eq!(say(0, 9, true, false, false).holds, 0, "the version before");
+    let mut long = say(1, 9, true, false, false);
+    assert_eq!(heard(&hello(long.clone()), 1), (2, 31));
+    long.holds = 1000 * HOLD;
+    assert_eq!(heard(&hello(long), 1), (2, 31));
+    // A life that read nothing says how old it is, and counts only if it began within a promise.
+    let young = say(1, 9, false, false, false);
+    assert_eq!((young.withdrawn.len(), young.age), (0, Some(SECOND)));
+    assert_eq!(heard(&hello(young.clone()), 1), none);
+    let after_promise = |at: Micros| {
+        let mut w = Words::default();
+        let first = hello(say(1, 9, true, false, false));
+        w.take("b", (20 * SECOND, 21 * SECOND), 1, &first);
+        w.take("b", (at, at), 1, &hello(young.clone()));
+        w.informed(0, ["b"].into_iter(), 9) / SECOND
+    };
+    assert_eq!(after_promise(32 * SECOND), 43);
+    assert_eq!(after_promise(34 * SECOND), 31, "it began too late");
 }
 
 /// A view that let go of old cancellations says so.
@@ -402,7 +527,20 @@
     for k in 1..=20_005u64 {
         v.put(&keys::job(&format!("req-{k:06}")), &value, k);
     }
-    let whole = |after| word(&v, true, after, 100_000).expect("loaded").whole;
+    let whole = |rev| {
+        let speaker = Speaker {
+            view: &v,
+            loaded: true,
+            state_ok: false,
+            age: SECOND,
+            most: 100_000,
+        };
+        let question = Hello {
+            rev,
+            ..Hello::default()
+        };
+        word(&speaker, &question).whole
+    };
     assert!(!whole(0));
     assert!(!whole(4));
     assert!(whole(5));
@@ -418,7 +556,7 @@
     let from = |w: &mut World, n: usize, to: usize| {
         w.ask(n, to);
         w.give_word(n, 0);
-        let word = w.nodes[n].asked[0].3.clone().and_then(|h| h.word);
+        let word = w.nodes[n].asked[0].answer.clone().and_then(|h| h.word);
         w.hear_word(n, 0);
         word.expect("loaded").withdrawn.len()
     };
