A worker that shows a newer token than our view knows is not sent back to the older owner

Cause: with two of three controllers behind, workers that the third had fenced went to and fro between the two (503, then 421) until their leases ended.

--- a/src/workers/drive.rs
+++ b/src/workers/drive.rs
@@ -1,6 +1,6 @@
 //! Driving workers: reports in, orders out, and what is wanted of machines.
 
-use super::{Machine, News, cut_off, newest_word, orders, sick};
+use super::{Machine, News, cut_off, newest_word, orders, sent_to, sick};
 use crate::hosts::model::{Host, HostState};
 use crate::hosts::{UP_MAX, UP_TOLD, give_up, put_host};
 use crate::ids::HostId;
@@ -175,7 +175,7 @@
         let part = part_of(&host);
         let view = self.feed.view();
         let Some(term) = self.term(&view, part) else {
-            return self.redirect(&view, part, &r.deckhand, now);
+            return self.redirect(&view, part, &r, now);
         };
         let (lease, cancel) = (self.settings.lease, self.settings.cancel);
         if !may_answer(lease, cancel, self.informed(), now) {
@@ -223,23 +223,15 @@
         )
     }
 
-    fn redirect(&self, view: &View, part: u32, host: &str, now: Micros) -> Reply {
-        let Some(p) = view.parts.get(&part) else {
+    fn redirect(&self, view: &View, part: u32, r: &Report, now: Micros) -> Reply {
+        let Some(to) = sent_to(view, self.me(), part, r.baton) else {
             return Reply::status(503);
         };
-        if p.owner == self.me()
-            || view
-                .members
-                .get(&p.owner)
-                .is_none_or(|m| m.lease != p.lease)
-        {
-            return Reply::status(503);
-        }
-        self.fleet.redirect(host, &p.owner, now);
+        self.fleet.redirect(&r.deckhand, to, now);
         Reply::with(
             421,
             &Redirect {
-                foreman: Some(p.owner.clone()),
+                foreman: Some(to.to_string()),
             },
         )
     }
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -508,6 +508,19 @@
     }
 }
 
+/// To whom a worker that shows this token is sent by a controller that does not drive its part, if it is known
+/// who does. A token higher than the part's term here means that someone newer does, of whom this view has not
+/// heard: sent on by such a view, a worker went to and fro between two controllers that were both behind, and
+/// never came to the third, until its lease ended its tasks.
+pub fn sent_to<'a>(view: &'a View, me: &str, part: u32, token: u64) -> Option<&'a str> {
+    let p = view.parts.get(&part)?;
+    let lives = view
+        .members
+        .get(&p.owner)
+        .is_some_and(|m| m.lease == p.lease);
+    (lives && p.owner != me && token <= p.term).then_some(p.owner.as_str())
+}
+
 /// Whether a machine fails what it starts: failures of two jobs, or of one that has not failed
 /// elsewhere.
 pub fn sick(m: &Machine, elsewhere: &dyn Fn(&str) -> bool) -> bool {
@@ -746,6 +759,29 @@
         assert!(lost(HostState::Up, false, late));
     }
 
+    /// Two controllers that were refused by the state service, and a third that took the part of one of them:
+    /// its worker has to come to the third, and not to be sent back to the one that drove it before.
+    #[test]
+    fn a_worker_that_shows_a_newer_token_is_sent_to_nobody_older() {
+        use crate::members::{Member, Part};
+        let mut v = View::default();
+        let m = Member::begin(None, 7, 2, 0);
+        v.put(&keys::member("a"), &to_value(&m), 1);
+        let part = Part {
+            owner: "a".into(),
+            lease: 7,
+            term: 4,
+        };
+        v.put(&keys::part(3), &to_value(&part), 2);
+        assert_eq!(sent_to(&v, "c", 3, 3), Some("a"));
+        assert_eq!(sent_to(&v, "c", 3, 4), Some("a"));
+        assert_eq!(sent_to(&v, "c", 3, 5), None);
+        assert_eq!(sent_to(&v, "a", 3, 4), None, "not to itself");
+        assert_eq!(sent_to(&v, "c", 2, 4), None);
+        v.delete(&keys::member("a"), 3);
+        assert_eq!(sent_to(&v, "c", 3, 4), None, "its lease ended");
+    }
+
     /// Machines that were only taken over count for nothing when it is asked whether others are heard.
     #[test]
     fn a_machine_taken_over_has_said_nothing() {
