A part is driven by the process that took it until its term is raised, whatever became of the lease

Cause: a controller that heard that its lease had ended stopped answering at once, although its token was the highest; in an outage that began at that moment nobody could take its parts. Generated rules: copies of messages arrive again, machines go deaf.

--- a/src/members/keep.rs
+++ b/src/members/keep.rs
@@ -64,6 +64,8 @@
 pub struct Membership {
     /// Our lease.
     lease: Cell<Option<u64>>,
+    /// All leases that this process had.
+    had: RefCell<HashSet<u64>>,
     /// Whether our workers cannot reach us, and since when.
     shunned: Cell<Option<Micros>>,
     /// Parts whose term we want to raise once more.
@@ -86,6 +88,17 @@
     pub fn lease(&self) -> Option<u64> {
         self.lease.get()
     }
+    /// Notes that we have a lease, or that it ended.
+    fn set_lease(&self, lease: Option<u64>) {
+        self.lease.set(lease);
+        self.had.borrow_mut().extend(lease);
+    }
+    /// Whether parts taken under a lease are ours to drive. They are until somebody raises their terms, also
+    /// after the lease ended, whether or not we have another by then: an outage that began at that moment left
+    /// the machines of a third of the fleet without anybody who answered them.
+    pub fn drives(&self, lease: u64) -> bool {
+        self.had.borrow().contains(&lease)
+    }
     /// Parts of ours whose term must be raised once more: an unanswered start stands in the way.
     pub fn raise_terms(&self, parts: impl Iterator<Item = u32>) {
         let mut raise = self.raise.borrow_mut();
@@ -146,7 +159,7 @@
                     if self.feed.loaded()
                         && let Ok(id) = self.feed.client().lease(ttl).await
                     {
-                        self.members.lease.set(Some(id));
+                        self.members.set_lease(Some(id));
                         let v = self.feed.view();
                         let before = v.members.get(self.me());
                         wanted = Some(Member::begin(before, id, VERSION, wall()));
@@ -159,7 +172,7 @@
                     Ok(true) => {}
                     Ok(false) => {
                         tracing::info!("lease ended");
-                        self.members.lease.set(None);
+                        self.members.set_lease(None);
                         continue;
                     }
                     Err(e) => tracing::debug!("renew: {e}"),
@@ -173,7 +186,7 @@
             if let Some(t) = t {
                 match self.feed.txn(&t).await {
                     Outcome::Done(_) => {}
-                    Outcome::Refused(400) => self.members.lease.set(None),
+                    Outcome::Refused(400) => self.members.set_lease(None),
                     // Somebody wrote it meanwhile: a request of an earlier life that came late.
                     Outcome::Conflict(_) => {
                         self.feed.barrier().await;
@@ -515,6 +528,21 @@
 mod tests {
     use super::*;
 
+    /// A part is ours until its term is raised: not only while the lease under which we took it runs. What an
+    /// earlier process took is not.
+    #[test]
+    fn parts_are_driven_until_somebody_takes_them() {
+        let m = Membership::default();
+        assert!(!m.drives(7));
+        m.set_lease(Some(7));
+        assert!(m.drives(7) && !m.drives(6));
+        m.set_lease(None);
+        assert!(m.drives(7), "nobody else has it yet");
+        assert_eq!(m.lease(), None, "but nothing is claimed with it");
+        m.set_lease(Some(9));
+        assert!(m.drives(7) && m.drives(9) && !m.drives(8));
+    }
+
     /// What a peer says unasked may be old, or of its earlier life: with it a controller that is cut off
     /// from the state service alone would take that for an outage, in which nobody can have cancelled
     /// anything, and keep tasks alive that were.
--- a/src/node.rs
+++ b/src/node.rs
@@ -223,7 +223,7 @@
     /// wrote is in the view.
     pub fn term(&self, view: &View, part: u32) -> Option<u64> {
         let p = view.parts.get(&part)?;
-        let ours = p.owner == self.me() && Some(p.lease) == self.members.lease();
+        let ours = p.owner == self.me() && self.members.drives(p.lease);
         (ours && self.feed.loaded() && view.rev >= view.stamp(&keys::part(part))).then_some(p.term)
     }
 
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -1,6 +1,7 @@
 //! The Rules under generated failures, with a virtual clock and stand-ins written here: a state
 //! service, a cloud that takes machines back, and workers. The controllers' own state machines run
-//! as they are. Messages get lost, or arrive late: transactions, direct orders and reports.
+//! as they are. Messages get lost, or arrive late, also once more after they arrived: transactions, direct
+//! orders and reports. Machines go deaf: their reports arrive, answers and orders to them are lost.
 
 mod common;
 
@@ -41,6 +42,7 @@
     tick: u64,
     token: u64,
     renewed: Micros,
+    deaf: bool,
     tasks: BTreeMap<String, Task>,
 }
 
@@ -52,6 +54,7 @@
     machines: BTreeMap<HostId, Machine>,
 }
 
+#[derive(Clone)]
 enum Late {
     Txn(Txn),
     Orders(usize, u64, u64, Vec<Order>),
@@ -139,6 +142,7 @@
             tick: 0,
             token: 0,
             renewed: self.now,
+            deaf: false,
             tasks: BTreeMap::new(),
         });
     }
@@ -451,11 +455,15 @@
             self.late.push(Late::Report(n, r));
             return;
         }
+        if fate >= 24 {
+            // A copy of it arrives again later.
+            self.late.push(Late::Report(n, r.clone()));
+        }
         let Some((token, list)) = self.answer(n, &r) else {
             return;
         };
         let x = &mut self.workers[w];
-        if fate % 8 == 1 || token < x.token || r.shift != x.session {
+        if fate % 8 == 1 || x.deaf || token < x.token || r.shift != x.session {
             return;
         }
         x.token = token;
@@ -479,6 +487,9 @@
         };
         m.sent(&list);
         let term = m.term;
+        if self.workers[w].deaf {
+            return;
+        }
         if fate.is_multiple_of(4) || !self.workers[w].alive {
             self.late.push(Late::Orders(w, term, session, list));
             return;
@@ -508,8 +519,14 @@
         if self.late.is_empty() {
             return;
         }
+        // Some arrive once more.
+        let again = k >= 192 && self.late.len() < 50;
         let k = k % self.late.len();
-        match self.late.remove(k) {
+        let late = match again {
+            true => self.late[k].clone(),
+            false => self.late.remove(k),
+        };
+        match late {
             Late::Txn(t) => {
                 self.store.apply(&t);
             }
@@ -558,8 +575,9 @@
             9 | 10 => self.direct(n, w, a / 3),
             11 => self.arrive(b as usize),
             12 => self.pass_time(u64::from(a % 64) * SECOND / 8),
-            13 => match a % 4 {
-                // A lease ends, its node knowing or not; a node starts anew; a machine is returned.
+            13 => match a % 5 {
+                // A lease ends, its node knowing or not; a node starts anew; a machine is returned, or goes
+                // deaf, or hears again.
                 0 => {
                     let key = keys::member(&self.nodes[n].name);
                     self.store.apply(&Txn {
@@ -587,6 +605,7 @@
                     });
                     self.rent();
                 }
+                3 => self.workers[w].deaf ^= true,
                 _ => {
                     let mut hit = None;
                     for (k, t) in &mut self.workers[w].tasks {
@@ -667,6 +686,7 @@
     /// Without further failures everything that can end does.
     fn settle(&mut self) {
         self.late.clear();
+        self.workers.iter_mut().for_each(|w| w.deaf = false);
         // Services would keep their room for ever.
         let jobs: Vec<(String, Record)> = self
             .store
