--- a/src/members/word.rs
+++ b/src/members/word.rs
@@ -113,9 +113,12 @@
             return &[];
         };
         let v = self.siblings.entry(sibling.to_string()).or_default();
-        // A life that read nothing vouches for earlier ones if they were held until it began.
-        let begun = |age: u64| heard.saturating_sub(age.saturating_sub(drift(age)));
-        let earlier = w.age.is_none_or(|age| begun(age) <= v.held);
+        // A life that read nothing vouches for earlier ones if they were held until it began. An age from
+        // before our own times is none.
+        let begun = |age: u64| heard.checked_sub(age.saturating_sub(drift(age)));
+        let earlier = w
+            .age
+            .is_none_or(|age| begun(age).is_some_and(|at| at <= v.held));
         if w.whole && !answer.state_ok && earlier {
             v.until = v.until.max(asked);
             let holds = w.holds.min(HOLD);
--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -505,6 +505,9 @@
     let young = say(1, 9, false, false, false);
     assert_eq!((young.withdrawn.len(), young.age), (0, Some(SECOND)));
     assert_eq!(heard(&hello(young.clone()), 1), none);
+    let mut ancient = young.clone();
+    ancient.age = Some(u64::MAX);
+    assert_eq!(heard(&hello(ancient), 1), none);
     let after_promise = |at: Micros| {
         let mut w = Words::default();
         let first = hello(say(1, 9, true, false, false));
