--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -9,7 +9,7 @@
 use coppergw::hosts::model::{Host, HostState};
 use coppergw::ids::HostId;
 use coppergw::jobs::commit::{Intent, stage};
-use coppergw::jobs::model::{Block, JobId, Record, Room, Slot, Spec};
+use coppergw::jobs::model::{Block, JobId, Placement, Record, Room, Slot, Spec};
 use coppergw::members::{Member, PARTS, Part, assign, part_of};
 use coppergw::placement::{Open, Scene, plan};
 use coppergw::store::keys;
@@ -290,6 +290,23 @@
             writes: None,
         });
         intents.extend(p.intents);
+        if fate % 32 >= 24 {
+            // Somebody makes room, or drains: a task that has to go and starts again elsewhere. What is wrongly
+            // believed to have left shows only here.
+            let own = |p: &&(u32, &Placement)| p.1.stop.is_none() && mine(&p.1.host);
+            let jobs = node.view.jobs.iter().skip(fate as usize / 32);
+            let hit = jobs
+                .flat_map(|(id, j)| j.placements().map(move |p| (id, p)))
+                .find(|(_, p)| own(&p));
+            if let Some((id, (index, p))) = hit {
+                intents.push(Intent::Stop {
+                    job: id.clone(),
+                    index,
+                    attempt: p.attempt,
+                    grace: 0,
+                });
+            }
+        }
         let mut sessions = Vec::new();
         for (id, m) in &node.machines {
             if let Some(h) = node.view.hosts.get(id)
@@ -827,3 +844,135 @@
     let Record(_, b): Record = v.deserialized().expect("job");
     assert!(matches!(b.0[0], Slot::Placed(_)), "still placed: {b:?}");
 }
+
+/// A service of one task that its owner has placed but not started yet, on a machine that holds the owner's
+/// token: the owner and the machine.
+fn placed(w: &mut World) -> (usize, usize) {
+    let owner = |w: &World, i: usize| {
+        let part = part_of(&w.workers[i].name);
+        let owner = (0..NODES).find(|n| w.term(*n, part).is_some());
+        owner.expect("each part has an owner")
+    };
+    (0..NODES).for_each(|n| w.sync(n));
+    for _ in 0..2 {
+        for i in 0..w.workers.len() {
+            w.exchange(i, owner(w, i), 2);
+        }
+    }
+    let job = Record(spec(Shape::Service, 1, w.now), Block::default());
+    w.store.put(keys::job("req-0"), &job);
+    w.jobs = 1;
+    for n in 0..NODES {
+        w.sync(n);
+        w.pass(n, 1);
+    }
+    (0..NODES).for_each(|n| w.sync(n));
+    let Slot::Placed(p) = slot(w) else {
+        panic!("it is placed");
+    };
+    let i = w.workers.iter().position(|x| x.name == p.host);
+    let i = i.expect("on a machine");
+    (owner(w, i), i)
+}
+
+fn slot(w: &World) -> Slot {
+    let (v, _) = w.store.keys.get("c/job/req-0").expect("job");
+    let Record(_, b): Record = v.deserialized().expect("job");
+    b.0[0].clone()
+}
+
+/// It is to go: the owner writes that.
+fn stop(w: &mut World, n: usize) {
+    w.sync(n);
+    let stop = [Intent::Stop {
+        job: "req-0".into(),
+        index: 0,
+        attempt: 1,
+        grace: 0,
+    }];
+    let view = &w.nodes[n].view;
+    for s in stage(view, &stop, &HashSet::new(), &|_| false, LIMITS) {
+        assert!(w.store.apply(&s.txn));
+    }
+    w.sync(n);
+}
+
+/// Whether the owner, after it looked at what the reports prove, still has it where it was.
+fn stays(w: &mut World, n: usize) -> bool {
+    w.pass(n, 1);
+    w.sync(n);
+    matches!(slot(w), Slot::Placed(p) if p.attempt == 1)
+}
+
+/// A report from before the task started arrives after newer ones, while the machine does not hear that the
+/// task has to stop.
+#[test]
+fn an_old_report_after_newer_ones_proves_nothing() {
+    let mut w = World::new();
+    let (n, m) = placed(&mut w);
+    let old = w.report(m);
+    w.direct(n, m, 2);
+    assert_eq!(w.workers[m].tasks.len(), 1);
+    w.workers[m].deaf = true;
+    stop(&mut w, n);
+    w.answer(n, &old);
+    assert!(stays(&mut w, n));
+    w.workers[m].deaf = false;
+    w.exchange(m, n, 2);
+    w.exchange(m, n, 2);
+    assert!(!stays(&mut w, n), "now it has stopped");
+}
+
+/// A direct start that is held, and the machine reports meanwhile that it has no such task: it may come yet.
+#[test]
+fn a_start_that_is_held_may_come_yet() {
+    let mut w = World::new();
+    let (n, m) = placed(&mut w);
+    w.direct(n, m, 0);
+    assert_eq!(w.late.len(), 1, "it is under way");
+    stop(&mut w, n);
+    for _ in 0..2 {
+        let r = w.report(m);
+        w.answer(n, &r);
+        assert!(stays(&mut w, n));
+    }
+    w.arrive(0);
+    assert_eq!(w.workers[m].tasks.len(), 1, "here it is");
+    assert!(stays(&mut w, n));
+}
+
+/// The same, and its owner has ended: the next one hears from the machine, which is deaf to it and has not seen
+/// the new token, so the start of the one before may come yet.
+#[test]
+fn what_shows_an_older_token_proves_nothing_to_a_new_owner() {
+    let mut w = World::new();
+    let (n, m) = placed(&mut w);
+    w.direct(n, m, 0);
+    let key = keys::member(&w.nodes[n].name);
+    let then = vec![Change::Delete { remove: key }];
+    w.store.apply(&Txn {
+        guards: vec![],
+        then,
+    });
+    let others: Vec<usize> = (0..NODES).filter(|x| *x != n).collect();
+    for x in &others {
+        w.sync(*x);
+        w.parts(*x);
+    }
+    others.iter().for_each(|x| w.sync(*x));
+    let part = part_of(&w.workers[m].name);
+    let new = others.into_iter().find(|x| w.term(*x, part).is_some());
+    let new = new.expect("another took it");
+    stop(&mut w, new);
+    for _ in 0..2 {
+        let r = w.report(m);
+        w.answer(new, &r);
+        assert!(stays(&mut w, new));
+    }
+    w.arrive(0);
+    assert_eq!(w.workers[m].tasks.len(), 1, "the old owner's start");
+    for _ in 0..3 {
+        w.exchange(m, new, 2);
+    }
+    assert!(!stays(&mut w, new), "the new token was seen, and the stop");
+}
