A controller that reloads its view has still spoken in this life

Cause, found on reading the change once more: while the view is loaded again (410) the controller said that it had read nothing since it started, and vouched with an empty list for a life that may have confirmed cancellations. Who asks about no revision gets no list.

--- a/src/members/keep.rs
+++ b/src/members/keep.rs
@@ -498,7 +498,7 @@
         let state_ok = self.feed.current();
         let speaker = Speaker {
             view: &self.feed.view(),
-            loaded: self.feed.loaded(),
+            loaded: self.feed.was_loaded(),
             state_ok,
             age: self.clock.age(),
             most: WORD_MOST,
@@ -544,8 +544,7 @@
     }
 
     /// What a peer says unasked may be old, or of its earlier life: with it a controller that is cut off
-    /// from the state service alone would take that for an outage, in which nobody can have cancelled
-    /// anything, and keep tasks alive that were.
+    /// from the state service alone would take that for an outage, and call itself as good as any other.
     #[test]
     fn an_old_word_is_no_outage() {
         let said = |m: &Membership, ok, asked| {
--- a/src/members/word.rs
+++ b/src/members/word.rs
@@ -31,7 +31,7 @@
 pub struct Speaker<'a> {
     /// Its view.
     pub view: &'a View,
-    /// Whether the view was loaded since it started. Until then it does not know what earlier lives of its
+    /// Whether the view was loaded at any time since it started. Until then it does not know what earlier lives of its
     /// name confirmed, and has confirmed nothing itself.
     pub loaded: bool,
     /// Whether it reaches the state service.
@@ -47,15 +47,18 @@
 pub fn word(s: &Speaker<'_>, question: &Hello) -> Word {
     let after = question.rev;
     let mut withdrawn = Vec::new();
+    // Who asks about no revision has read nothing, or is of the version before: neither needs a list.
     let mut whole = !s.loaded;
-    let list = s.view.withdrawn_after(after).filter(|_| s.loaded);
+    let list = s
+        .view
+        .withdrawn_after(after)
+        .filter(|_| s.loaded && after > 0);
     if let Some(mut list) = list {
         let first = list.by_ref().take(s.most);
         withdrawn.extend(first.map(|(stamp, id)| (id.to_string(), *stamp)));
         whole = list.next().is_none();
     }
-    // Versions before this one ask about no revision and would not know what to do with it. Who reaches
-    // the service needs no promise, and who does so himself gives none.
+    // Who reaches the service needs no promise, and who does so himself gives none.
     let hold = whole && !s.state_ok && !question.state_ok && after > 0;
     Word {
         after,
--- a/src/node.rs
+++ b/src/node.rs
@@ -193,7 +193,7 @@
     }
 
     /// Whether the state service is away for every controller, not for us alone: then there is no
-    /// better node to send anyone to, and nobody can have accepted anything since.
+    /// better node to send anyone to. It says nothing of what others accepted before.
     pub fn common_outage(&self) -> bool {
         self.members
             .common_outage(self.settings.siblings.len(), self.clock.now())
--- a/src/store/feed.rs
+++ b/src/store/feed.rs
@@ -162,6 +162,12 @@
         self.whole_at.get()
     }
 
+    /// Whether the view was loaded at any time since the start. It is loaded again when the service's log does
+    /// not reach back far enough; what it held stays in it meanwhile.
+    pub fn was_loaded(&self) -> bool {
+        self.whole_at.get() > 0
+    }
+
     /// What a peer says of cancellations that the view does not show yet.
     pub fn hear_withdrawn(&self, list: &[(String, u64)]) {
         let mut v = self.view.borrow_mut();
--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -222,7 +222,7 @@
         let w = word(
             &Speaker {
                 view: &p.view,
-                loaded: p.loaded,
+                loaded: p.whole_at > 0,
                 state_ok,
                 age: self.now - p.born,
                 most,
@@ -301,6 +301,7 @@
             3..=5 => self.begin_read(n),
             6..=8 => self.end_read(n),
             9 => self.withdraw(n, task),
+            10 if a >= 224 => self.nodes[n].loaded = false,
             10 => self.ask_state(n, task),
             11..=13 if n != to => self.ask(n, to),
             14..=16 => self.give_word(n, b as usize),
@@ -432,6 +433,7 @@
 fn what_a_word_has_to_be() {
     let mut view = View::default();
     let mut store = Store::default();
+    store.put(keys::RAISES.into(), &1);
     for k in 0..3 {
         let mut s = spec(Shape::Array, 1);
         s.cancelled = true;
@@ -467,15 +469,15 @@
         (n, w.informed(0, ["b"].into_iter(), 9) / SECOND)
     };
     let plain = |after, most| hello(say(after, most, true, false, true));
-    assert_eq!(heard(&plain(0, 9), 0), (3, 20));
-    assert_eq!(heard(&plain(2, 9), 2), (1, 20));
-    assert_eq!(heard(&plain(3, 9), 3), (0, 20));
-    assert_eq!(heard(&plain(0, 2), 0), (2, 0), "cut");
-    assert_eq!(heard(&plain(1, 9), 0), (0, 0), "of another question");
+    assert_eq!(heard(&plain(1, 9), 1), (3, 20));
+    assert_eq!(heard(&plain(3, 9), 3), (1, 20));
+    assert_eq!(heard(&plain(4, 9), 4), (0, 20));
+    assert_eq!(heard(&plain(1, 2), 1), (2, 0), "cut");
+    assert_eq!(heard(&plain(2, 9), 1), (0, 0), "of another question");
     let changed = |f: &dyn Fn(&mut Hello)| {
-        let mut h = plain(0, 9);
+        let mut h = plain(1, 9);
         f(&mut h);
-        heard(&h, 0)
+        heard(&h, 1)
     };
     let none = (0, 0);
     assert_eq!(changed(&|h| h.node = "c".into()), none, "somebody else");
@@ -488,19 +490,21 @@
             w.withdrawn.push(entry.clone());
         })
     };
-    assert_eq!(odd("req-000009", 0), none, "not after what was asked about");
+    assert_eq!(odd("req-000009", 1), none, "not after what was asked about");
     assert_eq!(odd("../final", 9), none, "no id");
     // Promises: among those without the service only, and none longer than we would give.
-    let promise = |most, state_ok, asker_ok| say(1, most, true, state_ok, asker_ok).holds;
+    let promise = |most, state_ok, asker_ok| say(2, most, true, state_ok, asker_ok).holds;
     assert_eq!(promise(9, false, false), HOLD);
     assert_eq!(promise(9, true, false), 0);
     assert_eq!(promise(9, false, true), 0, "it needs none");
     assert_eq!(promise(1, false, false), 0, "cut");
-    assert_eq!(say(0, 9, true, false, false).holds, 0, "the version before");
-    let mut long = say(1, 9, true, false, false);
-    assert_eq!(heard(&hello(long.clone()), 1), (2, 31));
+    let before = say(0, 9, true, false, false);
+    assert_eq!((before.holds, before.withdrawn.len()), (0, 0));
+    assert_eq!(heard(&hello(before), 0), none, "it asks about nothing");
+    let mut long = say(2, 9, true, false, false);
+    assert_eq!(heard(&hello(long.clone()), 2), (2, 31));
     long.holds = 1000 * HOLD;
-    assert_eq!(heard(&hello(long), 1), (2, 31));
+    assert_eq!(heard(&hello(long), 2), (2, 31));
     // A life that read nothing says how old it is, and counts only if it began within a promise.
     let young = say(1, 9, false, false, false);
     assert_eq!((young.withdrawn.len(), young.age), (0, Some(SECOND)));
