--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -575,3 +575,21 @@
     common::indexed(&w.nodes[2].view);
     assert!(w.nodes[2].view.jobs["req-000000"].cancelled());
 }
+
+/// One that loads its view anew has still spoken in this life, and what it told is in the view meanwhile.
+#[test]
+fn one_that_loads_its_view_anew_speaks_for_what_it_told() {
+    let mut w = World::new(false);
+    w.outage = true;
+    (0..10).for_each(|_| w.round());
+    (w.nodes[0].refused, w.nodes[2].refused) = (true, true);
+    w.outage = false;
+    (0..HOLD / SECOND + 1).for_each(|_| w.round());
+    w.withdraw(1, 0);
+    assert_eq!(w.told[0], Some(w.now));
+    w.outage = true;
+    w.nodes[1].loaded = false;
+    (0..4).for_each(|_| w.round());
+    assert!(w.tasks[0].gone, "it was told at once");
+    (0..110).for_each(|_| w.round());
+}
