--- a/crates/base/src/wire/peer.rs
+++ b/crates/base/src/wire/peer.rs
@@ -24,8 +24,7 @@
     /// cancellations after it is its word.
     #[serde(default)]
     pub rev: u64,
-    /// In an answer: what was asked for. A controller that cannot tell, and one of the version before,
-    /// gives none.
+    /// In an answer: what was asked for. A controller of the version before gives none.
     #[serde(default)]
     pub word: Option<Word>,
 }
--- a/src/store/feed.rs
+++ b/src/store/feed.rs
@@ -147,7 +147,7 @@
     }
 
     /// For how long nothing is known of the state service.
-    pub fn blind(&self, now: Micros) -> Micros {
+    fn blind(&self, now: Micros) -> Micros {
         now.saturating_sub(self.fresh_at.get())
     }
 
