--- /dev/null
+++ b/src/fairness/served/tests.rs
@@ -0,0 +1,52 @@
+//! Tests of `fairness/served.rs` that need its private parts.
+
+use super::*;
+
+fn end(rev: u64, done: bool) -> End {
+    End {
+        rev,
+        name: name("c", "t"),
+        started: true,
+        done,
+    }
+}
+
+/// Two leaders in turn, the second with ends that the first has added: each counts once.
+#[test]
+fn an_end_counts_once_whoever_adds_it_up() {
+    let ends = [end(3, true), end(5, false), end(9, true)];
+    let one = Served::default().with(ends[..2].iter().cloned(), 6, 1000);
+    let two = one.with(ends.iter().cloned(), 9, 1000);
+    let want = Ended {
+        accepted: 3,
+        started: 3,
+        done: 2,
+    };
+    assert_eq!(two.ended[&name("c", "t")], want);
+    // Later than what the value says it counts: the next one's.
+    assert!(one.with(ends.iter().cloned(), 8, 1000).ended == one.ended);
+    assert_eq!(parse(&name("a:b/c", "x:y")), Some(("a:b/c", "x:y")));
+}
+
+/// Below half for a minute is said once, and again only after it was better.
+#[test]
+fn less_than_half_for_a_minute_is_said_once() {
+    let row = |started, overdue| Row {
+        class: "c".into(),
+        team: "t".into(),
+        started,
+        overdue,
+        ..Row::default()
+    };
+    let mut w = Watch::default();
+    let low = [row(4, 6)];
+    assert!(w.fallen(&low, 0).is_empty());
+    assert!(w.fallen(&low, 59 * SECOND).is_empty());
+    let said = w.fallen(&low, 60 * SECOND);
+    assert_eq!(said[0], ("class c".to_string(), 0.4));
+    assert_eq!(said.len(), 2);
+    assert!(w.fallen(&low, 90 * SECOND).is_empty());
+    assert!(w.fallen(&[row(5, 5)], 95 * SECOND).is_empty());
+    assert!(w.fallen(&low, 100 * SECOND).is_empty());
+    assert_eq!(w.fallen(&low, 170 * SECOND).len(), 2);
+}
