A submission that cannot be taken is looked up first; amounts are compared to the last digit

Cause: a repeated submission whose job is over and not at hand was judged by what it says: 400 or 422 for an accepted job is a forgotten one. And 16.0004 CPUs fitted a machine of 16, because what is kept is rounded: accepted, never run.

--- a/crates/base/src/wire/user.rs
+++ b/crates/base/src/wire/user.rs
@@ -122,6 +122,15 @@
         .is_some_and(|d| (1..=20).contains(&d.len()) && d.bytes().all(|b| b.is_ascii_digit()))
 }
 
+/// The id that a body names which is no submission, if it names one.
+pub fn id_in(body: &[u8]) -> Option<String> {
+    #[derive(Deserialize)]
+    struct Named {
+        id: String,
+    }
+    super::decode(body).ok().map(|n: Named| n.id)
+}
+
 /// Where a path under the job prefix leads.
 pub enum Route<'a> {
     /// The collection.
--- a/src/jobs/front.rs
+++ b/src/jobs/front.rs
@@ -14,7 +14,7 @@
 use crate::wire::decode;
 use crate::wire::peer::{FORWARD, Forward, Forwarded, pack, unpack};
 use crate::wire::server::{Ask, Reply};
-use crate::wire::user::{JobAnswer, Route, Status, Submission, route, valid_id};
+use crate::wire::user::{JobAnswer, Route, Status, Submission, id_in, route, valid_id};
 use crate::wire::worker::TaskStatus;
 use foldhash::{HashMap, HashSet};
 use http_types::Method;
@@ -238,13 +238,14 @@
         let s: Submission = match decode(body) {
             Ok(s) => s,
             Err(e) => {
-                tracing::debug!("submission: {e}");
-                return Reply::refusal(400, &e.to_string());
+                let id = id_in(body).unwrap_or_default();
+                return self.refuse(&id, 400, &e.to_string()).await;
             }
         };
         let ids = s.waits_on.iter().flatten().chain([&s.id]);
         if let Some(id) = ids.into_iter().find(|id| !valid_id(id)) {
-            return Reply::refusal(400, &format!("no job id: {id:.40}"));
+            let why = format!("no job id: {id:.40}");
+            return self.refuse(&s.id, 400, &why).await;
         }
         if self.seen(&s.id).is_some() {
             return match self.current(&s.id).await {
@@ -265,12 +266,11 @@
         let spec = match spec {
             Ok(s) => s,
             Err(e) => {
-                tracing::debug!(id = s.id, "{e}");
                 let status = match e {
                     Refusal::Malformed(_) => 400,
                     Refusal::Impossible(_) => 422,
                 };
-                return Reply::refusal(status, &e.to_string());
+                return self.refuse(&s.id, status, &e.to_string()).await;
             }
         };
         if !self.feed.current() {
@@ -284,8 +284,7 @@
                 Err(NoNeeds::Later) => return later(),
                 Err(NoNeeds::Impossible(why)) => {
                     let e = Refusal::Impossible(why);
-                    tracing::debug!(id = s.id, "{e}");
-                    return Reply::refusal(422, &e.to_string());
+                    return self.refuse(&s.id, 422, &e.to_string()).await;
                 }
             }
         }
@@ -337,6 +336,20 @@
         later()
     }
 
+    /// Answers a submission that cannot be taken. A job that was accepted under its id has its state, whatever
+    /// this one says: one that is over is not in every view, and was told 422 where types had changed.
+    async fn refuse(&self, id: &str, status: u16, why: &str) -> Reply {
+        tracing::debug!(id, status, "submission: {why}");
+        if !valid_id(id) {
+            return Reply::refusal(status, why);
+        }
+        match self.current(id).await {
+            Ok(Some(a)) => Reply::with(200, &a),
+            Ok(None) => Reply::refusal(status, why),
+            Err(()) => later(),
+        }
+    }
+
     async fn withdraw(&self, id: &str) -> Reply {
         if !valid_id(id) {
             return Reply::status(404);
--- a/src/jobs/model.rs
+++ b/src/jobs/model.rs
@@ -253,6 +253,9 @@
     }
 }
 
+/// Amounts that differ by less are the same.
+const TINY: f64 = 1e-6;
+
 /// Why a submission is refused for good.
 #[derive(Debug, PartialEq, thiserror::Error)]
 pub enum Refusal {
@@ -321,6 +324,10 @@
         allowed.as_ref().is_none_or(|l| l.contains(&t.sku))
             && s.yard.as_ref().is_none_or(|z| t.yards.contains(z))
             && Room::of(t).fits(&room)
+            // To the last digit: what is kept of the amounts is rounded.
+            && [(s.cores, t.cores), (s.accelerators, t.accelerators), (s.ram_gb, t.ram_gb)]
+                .iter()
+                .all(|(need, have)| *need <= *have + TINY)
     });
     if !fits {
         return Err(Impossible("a task fits no allowed machine type"));
@@ -330,8 +337,11 @@
     } else {
         i64::from(s.shards)
     };
-    let over = |need: i64, max: i64| max > 0 && need.saturating_mul(at_once) > max;
-    if over(room.cpus, team.cpus_max) || over(room.gpus, team.gpus_max) {
+    let over = |need: f64, kept: i64, max: i64| {
+        let all = need * at_once as f64 * 1000.0;
+        max > 0 && (kept.saturating_mul(at_once) > max || all > max as f64 + TINY)
+    };
+    if over(s.cores, room.cpus, team.cpus_max) || over(s.accelerators, room.gpus, team.gpus_max) {
         return Err(Impossible("more than the team's limit"));
     }
     Ok(Spec {
