Machines that reach no controller while calls reach them are no machines to place work on

Cause: an answer to a call counted as a word, so a mute machine got new work again and again, which its lease ended each time, and nobody rented beside it. Now three answered calls without a report close it to placements; once its lease has ended what ran there its key says that it drains; after three leases it is returned. While more than a third are mute, none is drained or returned.

--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -240,15 +240,13 @@
                 return None;
             }
             match machines.get(id) {
-                // Ours: it must have answered under our token, and lately. That it is up need not be
-                // written first.
-                Some(m) => (m.fenced()
-                    && now.saturating_sub(m.heard) < self.settings.report * 2
-                    && m.session >= h.session)
-                    .then_some(Open {
-                        session: m.session,
+                Some(m) => {
+                    let session = workers::opens(m, h.session, self.settings.report, now);
+                    session.map(|session| Open {
+                        session,
                         mine: true,
-                    }),
+                    })
+                }
                 None if !(waits || serves) || mine(id) => None,
                 None => {
                     let session = match h.state {
--- a/src/workers/drive.rs
+++ b/src/workers/drive.rs
@@ -1,6 +1,9 @@
 //! Driving workers: reports in, orders out, and what is wanted of machines.
 
-use super::{Machine, News, cut_off, newest_word, orders, sent_to, sick};
+use super::{
+    Machine, Mute, News, cut_off, many_mute, mute, newest_word, orders, reported_state, sent_to,
+    sick,
+};
 use crate::hosts::model::{Host, HostState};
 use crate::hosts::{UP_MAX, UP_TOLD, give_up, put_host};
 use crate::ids::HostId;
@@ -332,7 +335,7 @@
         m: &Machine,
         have: Option<&Host>,
         now: Micros,
-        alone: bool,
+        (alone, many_mute): (bool, bool),
     ) -> Option<Host> {
         let Some(h) = have else {
             // Unexpected machines are used: they are paid for. The leader finds them in the cloud's
@@ -368,9 +371,12 @@
             if let Some((_, _, _, addr)) = &m.about {
                 w.addr = Some(addr.clone());
             }
-            if w.state == HostState::Booting {
-                w.state = HostState::Up;
+            let mute = mute(m, many_mute, self.settings.lease, now);
+            if mute == Mute::Gone {
+                let silent = now.saturating_sub(m.reported);
+                tracing::info!(machine = %id, silent, "reports to nobody: given up");
             }
+            w.state = reported_state(m, w.state, mute);
             let failing = self.fleet.failing.borrow();
             let elsewhere = |j: &str| {
                 failing
@@ -381,9 +387,6 @@
                 tracing::info!(machine = %id, "fails its tasks");
                 w.state = HostState::Sick;
             }
-            if m.notice.is_some() {
-                w.state = HostState::Draining;
-            }
         }
         let has_tasks = self.feed.view().tasks_on(id).is_some();
         if m.lost(w.state, has_tasks, (self.policy.lost_after, now, alone)) {
@@ -421,6 +424,7 @@
             let most = self.limits().layout.then(|| self.per_charter());
             let alone = self.alone(&view, now);
             let machines = self.fleet.machines.borrow();
+            let many_mute = many_mute(&machines);
             let (level, burst) = self.feed.client().write_level();
             let spare = level > burst / 2.0;
             let debt = level <= 0.0;
@@ -443,7 +447,7 @@
                     continue;
                 }
                 let have = view.hosts.get(id);
-                if let Some(w) = self.wanted_host(id, m, have, now, alone) {
+                if let Some(w) = self.wanted_host(id, m, have, now, (alone, many_mute)) {
                     if w.state == HostState::Lost && have.is_some() && most.is_some() {
                         lost.push(id.clone());
                         continue;
@@ -664,6 +668,7 @@
                     Ok(r) if *r.deckhand == *id => {
                         m.answered_direct(&list);
                         let news = m.take(&r, true, now);
+                        m.answered_call(self.settings.report, now);
                         look = news.changed || !list.is_empty() || !m.fenced() || m.passed_over;
                         drop(machines);
                         self.learn(&id, news, now);
@@ -722,29 +727,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// One call more than divides the time between reports finds nothing sooner; none at all leaves that
-    /// to the reports.
-    #[test]
-    fn calls_divide_the_time_between_reports() {
-        let every = |machines| call_every(machines, 0.4, 5 * SECOND);
-        assert_eq!(every(10), CALL);
-        assert_eq!(every(200), 5 * SECOND / 3);
-        assert_eq!(every(400), 5 * SECOND / 2);
-        assert_eq!(every(501), 5 * SECOND);
-    }
-
-    /// While one machine after the other goes without an answer, the others are not left to wait.
-    #[test]
-    fn after_a_call_without_an_answer_all_are_called_soon() {
-        let f = Fleet::default();
-        f.call_every.set(5 * SECOND / 2);
-        let now = 100 * SECOND;
-        assert_eq!(f.call_every(now), 5 * SECOND / 2);
-        f.alarm.set(now);
-        assert_eq!(f.call_every(now + SECOND), CALL);
-        assert_eq!(f.call_every(now + ALARM), 5 * SECOND / 2);
-    }
-}
+mod tests;
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -19,6 +19,10 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+/// So many calls answered without a report in between are no chance: a worker that finds no controller at its
+/// first try has asked all of them by then.
+const MUTE_CALLS: u32 = 3;
+
 /// An attempt of a task.
 pub type Attempt = (JobId, u32, u32);
 
@@ -56,6 +60,12 @@
     pub fenced: Option<Micros>,
     /// When any message came last.
     pub heard: Micros,
+    /// When a report came last: only the answer to one renews its lease. Until the first, when we began.
+    pub reported: Micros,
+    /// Whether one came.
+    pub reports: bool,
+    /// Calls that it answered since, at least a time between two reports apart, and when the last of them was.
+    called: (u32, Micros),
     /// When a report was answered last.
     pub answered: Option<Micros>,
     /// Time left until the cloud takes it, and when that was said.
@@ -126,6 +136,9 @@
             token: 0,
             fenced: None,
             heard: now,
+            reported: now,
+            reports: false,
+            called: (0, now),
             answered: None,
             notice: None,
             tasks: BTreeMap::new(),
@@ -221,6 +234,9 @@
         self.tick = r.tick;
         if !direct {
             self.report_tick = r.tick;
+            self.reported = now;
+            self.reports = true;
+            self.called = (0, now);
         }
         if r.baton > self.token {
             self.token = r.baton;
@@ -332,6 +348,21 @@
             && self.in_response.get(&a).is_none_or(|n| self.report_tick > *n)
     }
 
+    /// Whether the worker reaches no controller, although calls reach it: its lease will end all that runs there,
+    /// again and again, so it is no machine to place work on, and nothing counts it as one that serves.
+    pub fn mute(&self) -> bool {
+        self.fenced() && self.called.0 >= MUTE_CALLS
+    }
+
+    /// It answered a call. A controller that stood still finds all its machines without a report for longer, and
+    /// those whose calls are answered first are not mute for that: each answer counts only a time between two
+    /// reports after the one before.
+    pub fn answered_call(&mut self, report: Micros, now: Micros) {
+        if now.saturating_sub(self.called.1) >= report {
+            self.called = (self.called.0 + 1, now);
+        }
+    }
+
     /// Whether the worker's lease must have ended: nobody can have renewed it since we did.
     pub fn lease_over(&self, lease: Micros, now: Micros) -> bool {
         let Some(fenced) = self.fenced.filter(|_| self.fenced()) else {
@@ -561,6 +592,68 @@
     silent >= 2 && silent * 2 > all
 }
 
+/// What the owner of a machine makes of it that does not report, while calls reach it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mute {
+    /// It reports.
+    No,
+    /// Its lease has ended what ran there: everybody keeps off it. Before that it may yet report, and services that
+    /// were moved at once were missed for longer than those of machines that did.
+    Drains,
+    /// It has been for longer than it is worth to wait for: returned.
+    Gone,
+}
+
+/// What to make of a machine that may be mute. While many are, it is no fault of single machines, and returning
+/// or draining them would leave the fleet without: then only placements keep off them.
+pub fn mute(m: &Machine, many: bool, lease: Micros, now: Micros) -> Mute {
+    let silent = now.saturating_sub(m.reported);
+    if !m.mute() || many || silent <= lease {
+        Mute::No
+    } else if silent > lease * MUTE_LEASES {
+        Mute::Gone
+    } else {
+        Mute::Drains
+    }
+}
+
+/// What the key of a machine that holds our token should say, by what it says itself.
+pub fn reported_state(m: &Machine, before: HostState, mute: Mute) -> HostState {
+    match (before, mute) {
+        (_, Mute::Gone) => HostState::Lost,
+        _ if m.notice.is_some() => HostState::Draining,
+        // One that fails its tasks is on its way out already.
+        (HostState::Sick, _) => HostState::Sick,
+        (_, Mute::Drains) => HostState::Draining,
+        // It was mute, and reports again.
+        (HostState::Draining, Mute::No) if m.reports && !m.mute() => HostState::Up,
+        (HostState::Booting, Mute::No) => HostState::Up,
+        _ => before,
+    }
+}
+
+/// The session in which a machine of ours may be given tasks, if it may: it must have answered under our token,
+/// and lately, and reach us. That it is up need not be written first.
+pub fn opens(m: &Machine, session: u64, report: Micros, now: Micros) -> Option<u64> {
+    let lately = now.saturating_sub(m.heard) < report * 2;
+    (m.fenced() && lately && !m.mute() && m.session >= session).then_some(m.session)
+}
+
+/// After so many leases without a report a machine is returned.
+const MUTE_LEASES: u64 = 3;
+/// More than one machine in so many that are mute are many.
+const MUTE_MANY: usize = 3;
+
+/// Whether more than a part of the machines that hold our token are mute.
+pub fn many_mute(machines: &BTreeMap<HostId, Machine>) -> bool {
+    let mute = machines.values().filter(|m| m.mute()).count();
+    if mute < 2 {
+        return false;
+    }
+    let fenced = machines.values().filter(|m| m.fenced()).count();
+    mute * MUTE_MANY > fenced
+}
+
 /// Counts for the fairness round from the machines' tasks: the longest active task of each job.
 pub fn longest<'a>(
     machines: impl Iterator<Item = &'a Machine>,
@@ -592,264 +685,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::jobs::model::{Block, Record, Room, Slot, Spec};
-    use crate::store::keys;
-    use crate::wire::to_value;
-    use crate::wire::user::Rank;
-
-    fn view(slot: Slot, cancelled: bool) -> View {
-        let mut v = View::default();
-        let spec = Spec {
-            class: "c".into(),
-            team: "t".into(),
-            kind: Shape::Array,
-            rank: Rank::Normal,
-            tasks: 1,
-            room: Room::default(),
-            image: "i".into(),
-            image_size: 0,
-            types: None,
-            zone: None,
-            one_zone: false,
-            spread: false,
-            spot: false,
-            estimate: 0,
-            checkpoint: 0,
-            save: 0,
-            deadline: None,
-            submitted: 0,
-            cancelled,
-            needs: Default::default(),
-        };
-        let job = Record(spec, Block(vec![slot]));
-        v.put(&keys::job("req-1"), &to_value(&job), 1);
-        v
-    }
-
-    fn placed(attempt: u32) -> Slot {
-        Slot::Placed(Placement {
-            attempt,
-            host: "m".into(),
-            session: 1,
-            stop: None,
-        })
-    }
-
-    fn report(tick: u64, token: u64, task: Option<TaskStatus>) -> Report {
-        Report {
-            deckhand: "m".into(),
-            address: "10.0.0.1:1".into(),
-            rig: "t".into(),
-            yard: "z".into(),
-            loaners: false,
-            shift: 1,
-            tick,
-            baton: token,
-            recall_s: None,
-            shards: task
-                .map(|status| TaskReport {
-                    shard: "req-1/0".into(),
-                    attempt: 1,
-                    status,
-                    cause: (status == TaskStatus::Exited).then_some(Cause::Done),
-                    saved: None,
-                })
-                .into_iter()
-                .collect(),
-        }
-    }
-
-    fn concluded(v: &View, m: &Machine, now: Micros) -> usize {
-        let mut out = Vec::new();
-        reconcile(v, &"m".into(), m, 18 * SECOND, now, &mut out);
-        out.len()
-    }
-
-    fn host(v: &mut View) {
-        let h = crate::hosts::model::Host {
-            kind: "t".into(),
-            zone: "z".into(),
-            spot: false,
-            addr: None,
-            session: 1,
-            state: crate::hosts::model::HostState::Up,
-            rented: 0,
-        };
-        v.put(&keys::host("m"), &to_value(&h), 3);
-    }
-
-    /// A direct start that nobody answered may run after a `clear`: no clear until it was answered.
-    #[test]
-    fn nothing_is_cleared_while_a_start_may_still_come() {
-        let id: HostId = "m".into();
-        let v = view(placed(1), false);
-        let mut m = Machine::new(5, 0);
-        m.take(&report(1, 5, None), false, 1);
-        let direct = orders(&v, &id, &mut m, false);
-        assert!(matches!(direct.as_slice(), [Order::Start { .. }]));
-        m.sent(&direct);
-        m.take(&report(2, 5, Some(TaskStatus::Exited)), false, 2);
-        let over = view(Slot::Done, false);
-        assert!(orders(&over, &id, &mut m, true).is_empty());
-        assert!(m.stuck(), "only a higher term helps");
-        m.answered_direct(&direct);
-        assert!(matches!(
-            orders(&over, &id, &mut m, true).as_slice(),
-            [Order::Clear { .. }]
-        ));
-        // And never directly: it could overtake a start in the answer to a report.
-        assert!(orders(&over, &id, &mut m, false).is_empty());
-    }
-
-    /// A start in the answer to a report is executed before the next report or never; the answer to
-    /// direct orders in between proves nothing, and neither does a report with another token.
-    #[test]
-    fn absence_is_proved_by_the_next_report_alone() {
-        let id: HostId = "m".into();
-        let mut v = view(placed(1), false);
-        host(&mut v);
-        let mut m = Machine::new(5, 0);
-        m.take(&report(1, 4, None), false, 1);
-        let mut gone = view(placed(1), true);
-        host(&mut gone);
-        assert_eq!(concluded(&gone, &m, 2), 0, "an older owner may still act");
-        m.take(&report(2, 5, None), false, 2);
-        assert_eq!(orders(&v, &id, &mut m, true).len(), 1);
-        assert_eq!(concluded(&gone, &m, 3), 0, "the answer is on its way");
-        m.take(&report(3, 5, None), true, 3);
-        assert_eq!(concluded(&gone, &m, 4), 0, "still on its way");
-        m.take(&report(4, 5, None), false, 4);
-        assert_eq!(concluded(&gone, &m, 5), 1);
-        assert_eq!(concluded(&v, &m, 5), 0, "what should run is started again");
-    }
-
-    /// One machine is dead if it misses a call sent after another was heard; a controller that is cut
-    /// off misses all of them and must not give up any.
-    #[test]
-    fn a_cut_is_not_a_dead_machine() {
-        let mut m = Machine::new(5, 0);
-        m.take(&report(1, 5, None), false, SECOND);
-        for s in 2..9 {
-            m.miss(SECOND, s * SECOND);
-        }
-        assert!(!m.dead, "nobody else was heard either");
-        assert!(!m.given_up(5 * SECOND, 10 * SECOND, false));
-        assert!(!m.given_up(5 * SECOND, 30 * SECOND, true));
-        assert!(m.given_up(5 * SECOND, 30 * SECOND, false), "not for ever");
-        m.miss(2 * SECOND + 1, 9 * SECOND);
-        assert!(m.given_up(5 * SECOND, 9 * SECOND, true));
-        m.take(&report(2, 5, None), false, 10 * SECOND);
-        assert!(!m.dead);
-        m.miss(10 * SECOND, 11 * SECOND);
-        assert!(!m.dead, "one miss is not enough");
-    }
-
-    /// A machine of an owner that ended before it wrote that the machine is up: cut off as well, it shows
-    /// the new owner no token and has no address in its key, so nobody can call it.
-    #[test]
-    fn a_machine_with_tasks_is_given_up_although_its_key_says_that_it_boots() {
-        let m = Machine::new(5, 100 * SECOND);
-        let lost = |state, has, now| m.lost(state, has, (5 * SECOND, now, false));
-        let late = 111 * SECOND;
-        assert!(!lost(HostState::Booting, false, late), "it may come up yet");
-        assert!(!lost(HostState::Booting, true, 105 * SECOND));
-        assert!(lost(HostState::Booting, true, late));
-        assert!(lost(HostState::Up, false, late));
-    }
-
-    /// Two controllers that were refused by the state service, and a third that took the part of one of them:
-    /// its worker has to come to the third, and not to be sent back to the one that drove it before.
-    #[test]
-    fn a_worker_that_shows_a_newer_token_is_sent_to_nobody_older() {
-        use crate::members::{Member, Part};
-        let mut v = View::default();
-        let m = Member::begin(None, 7, 2, 0);
-        v.put(&keys::member("a"), &to_value(&m), 1);
-        let part = Part {
-            owner: "a".into(),
-            lease: 7,
-            term: 4,
-        };
-        v.put(&keys::part(3), &to_value(&part), 2);
-        assert_eq!(sent_to(&v, "c", 3, 3), Some("a"));
-        assert_eq!(sent_to(&v, "c", 3, 4), Some("a"));
-        assert_eq!(sent_to(&v, "c", 3, 5), None);
-        assert_eq!(sent_to(&v, "a", 3, 4), None, "not to itself");
-        assert_eq!(sent_to(&v, "c", 2, 4), None);
-        v.delete(&keys::member("a"), 3);
-        assert_eq!(sent_to(&v, "c", 3, 4), None, "its lease ended");
-    }
-
-    /// Machines that were only taken over count for nothing when it is asked whether others are heard.
-    #[test]
-    fn a_machine_taken_over_has_said_nothing() {
-        let mut all: BTreeMap<HostId, Machine> = BTreeMap::new();
-        all.insert("a".into(), Machine::new(5, 10 * SECOND));
-        all.insert("b".into(), Machine::new(5, 11 * SECOND));
-        let call = |all: &mut BTreeMap<HostId, Machine>, now| {
-            let others = newest_word(all);
-            if let Some(m) = all.get_mut("a") {
-                m.miss(others, now);
-            }
-            all["a"].given_up(5 * SECOND, now, false)
-        };
-        assert!(!call(&mut all, 11 * SECOND));
-        all.insert("c".into(), Machine::new(5, 12 * SECOND));
-        assert!(!call(&mut all, 13 * SECOND), "c was taken over, not heard");
-        if let Some(m) = all.get_mut("b") {
-            m.take(&report(1, 5, None), false, 13 * SECOND);
-        }
-        assert!(
-            call(&mut all, 14 * SECOND),
-            "b was heard, and a missed again"
-        );
-    }
-
-    /// A controller that loses its workers knows that it is itself before it gives the first of them
-    /// up, also where reports are as far apart as the patience with a silent machine. It gave up 237
-    /// machines within nine seconds, and the cloud took them back with their replicas.
-    #[test]
-    fn a_controller_that_is_cut_off_knows_before_it_gives_machines_up() {
-        const REPORT: Micros = 5 * SECOND;
-        const LOST_AFTER: Micros = 5 * SECOND;
-        let cut = 100 * SECOND;
-        let fleet = |gone: usize, now: Micros| -> BTreeMap<HostId, Machine> {
-            (0..100)
-                .map(|k| {
-                    let mut m = Machine::new(5, 0);
-                    // Half have replicas and are called often; others are heard when they report.
-                    let last = cut - if k % 2 == 0 { 0 } else { REPORT * k / 100 };
-                    m.heard = if (k as usize) < gone { last } else { now };
-                    let called = m.heard + if k % 2 == 0 { SECOND } else { REPORT * 5 / 4 };
-                    if (k as usize) < gone && called < now {
-                        m.probe_failed = called;
-                    }
-                    (format!("m-{k:03}").into(), m)
-                })
-                .collect()
-        };
-        let now = cut + LOST_AFTER;
-        assert!(cut_off(&fleet(100, now), &|_| true, REPORT, now));
-        assert!(!cut_off(&fleet(30, now), &|_| true, REPORT, now));
-        assert!(!cut_off(&fleet(1, now), &|_| true, REPORT, now));
-    }
-
-    /// Silence proves nothing before the lease must be over, and only under our token.
-    #[test]
-    fn silence_alone_proves_nothing() {
-        let mut v = view(placed(1), false);
-        host(&mut v);
-        let mut m = Machine::new(5, 0);
-        m.take(&report(1, 4, Some(TaskStatus::Running)), false, 1);
-        assert_eq!(concluded(&v, &m, 900 * SECOND), 0);
-        m.take(&report(2, 5, Some(TaskStatus::Running)), false, 2 * SECOND);
-        m.answered = Some(3 * SECOND);
-        assert_eq!(concluded(&v, &m, 21 * SECOND), 0);
-        assert_eq!(concluded(&v, &m, 23 * SECOND), 1);
-        // A late report changes nothing that a newer one said.
-        m.take(&report(1, 4, None), false, 24 * SECOND);
-        assert_eq!(m.tasks.len(), 1);
-    }
-}
+mod tests;
