The largest begin; jobs bound to zones are rented for there; a job in two entries keeps to its zones

- A job of which a part is raised, or within a floor, stood in the queue twice, and each entry counted its zones from the view alone: more than half of a spread job in one zone (wrong_place).
Shown by the generated plans as soon as entries were split more often; the plan now remembers where it put a job.
- An array of which nothing was started, and a gang, goes before its equals after two minutes: the array with one task.
- What is bound to a zone, has to be spread or together is rented for where it may go: all of a pool was rented for where it was cheapest, in the zone of whichever job came last.
- Machines that close are reopened for what has waited for 45 s, also empty ones about to be returned.

--- a/src/hosts/mod.rs
+++ b/src/hosts/mod.rs
@@ -11,7 +11,7 @@
 use crate::policy::Policy;
 use crate::settings::{Objective, ObjectiveKind, Team};
 use crate::store::keys;
-use crate::store::view::View;
+use crate::store::view::{Job, View};
 use crate::teams;
 use crate::time::{Micros, SECOND, from_secs};
 use crate::wire::cloud::MachineType;
@@ -71,13 +71,19 @@
 /// The shortest time that a machine is charged for.
 const LEAST: Micros = 60 * SECOND;
 
+/// A job bound to a zone is rented for even where its work would fill less of a machine.
+const BOUND_LEAST: f64 = 0.2;
+/// Work that waited for so long gets what room there is, also on machines that close.
+const OVERDUE: Micros = 45 * SECOND;
+
 /// The cloud rents so many machines at most for one request.
 const MOST: u64 = 50;
 
 /// A missing lot of tasks of one kind.
 struct Missing<'a> {
     types: Vec<&'a MachineType>,
-    zone: Option<&'a String>,
+    /// The zones in which they help; any if there are none.
+    zones: Option<Vec<&'a str>>,
     spot: bool,
     room: Room,
     tasks: u32,
@@ -85,6 +91,25 @@
     wanted: f64,
 }
 
+/// The zones in which a machine helps a job now, if it does not in all: its only one, where the rest of it is, or
+/// where it may have more tasks.
+fn bound<'a>(v: &'a View, j: &Job, types: &[&'a MachineType]) -> Option<Vec<&'a str>> {
+    let s = &j.spec;
+    if s.zone.is_none() && !s.spread && !(s.one_zone && j.placed > 0) {
+        return None;
+    }
+    let mut all: Vec<&str> = types
+        .iter()
+        .flat_map(|t| &t.yards)
+        .map(String::as_str)
+        .collect();
+    all.sort_unstable();
+    all.dedup();
+    let count = all.len();
+    all.retain(|z| placement::may_go(v, j, z));
+    (all.len() < count).then_some(all)
+}
+
 /// Work of one job as it should flow.
 #[derive(Clone)]
 struct Flow<'a> {
@@ -133,9 +158,12 @@
     all_spot: bool,
     /// Ordinary machines for which gangs wait that keep off spot machines.
     dear: f64,
-    zone: Option<&'a String>,
     room: Room,
     tasks: u32,
+    /// Tasks without a place of jobs that are bound to zones.
+    bound: u32,
+    /// Machines that tasks without a place would fill, of jobs that have waited for long.
+    overdue: f64,
 }
 
 impl<'a> Pool<'a> {
@@ -149,7 +177,8 @@
             spot: true,
             all_spot: true,
             dear: 0.0,
-            zone: None,
+            overdue: 0.0,
+            bound: 0,
             room: Room::default(),
             tasks: 0,
         }
@@ -190,7 +219,7 @@
         }
         Some(Missing {
             types,
-            zone: None,
+            zones: None,
             spot: true,
             room: self.room,
             tasks: dear as u32,
@@ -486,8 +515,8 @@
         let whole = f64::from(lacking) / per;
         if service || s.rank <= Rank::High {
             missing.push(Missing {
+                zones: bound(v, j, &types),
                 types,
-                zone: s.zone.as_ref(),
                 spot: s.spot && o.policy.use_spot,
                 room: s.room,
                 tasks: lacking,
@@ -503,6 +532,7 @@
         let run = s.estimate.max(SECOND) as f64 / 1e6;
         let tasks = f64::from(queued) + f64::from(j.placed) / 2.0;
         let key: Vec<&str> = types.iter().map(|t| t.sku.as_str()).collect();
+        let zones = bound(v, j, &types);
         let pool = pools.entry(key).or_insert_with(|| Pool::new(types));
         let spot = placement::spot(j);
         if s.spot && !spot {
@@ -525,7 +555,7 @@
             if short > 0 {
                 missing.push(Missing {
                     types: pool.types.clone(),
-                    zone: s.zone.as_ref(),
+                    zones,
                     spot: false,
                     room: s.room,
                     tasks: short as u32,
@@ -540,7 +570,7 @@
         if starved > 0 {
             missing.push(Missing {
                 types: pool.types.clone(),
-                zone: s.zone.as_ref(),
+                zones: zones.clone(),
                 spot: s.spot && o.policy.use_spot,
                 room: s.room,
                 tasks: starved,
@@ -554,6 +584,24 @@
             work: tasks * run / per,
             limit: teams::at_once(o.teams, s, &elsewhere).map(|n| (&*s.team, n as f64 / per)),
         });
+        if lacking > 0 && o.wall.saturating_sub(j.since) > OVERDUE {
+            pool.overdue += whole;
+        }
+        // What other zones get through is no help to it, and what is rented for all comes where it is cheapest:
+        // a job bound to a zone that had lost its machines waited there for good.
+        if let (Some(_), true) = (&zones, lacking > 0) {
+            let due = tasks * run / per / (horizon(o, s, default) as f64 / 1e6);
+            missing.push(Missing {
+                types: pool.types.clone(),
+                zones,
+                spot: s.spot && o.policy.use_spot,
+                room: s.room,
+                tasks: lacking,
+                wanted: whole.min(due.max(BOUND_LEAST)),
+            });
+            pool.bound += lacking;
+            continue;
+        }
         pool.whole += whole;
         pool.waits += f64::from(soon) / per;
         if s.kind == Shape::Gang {
@@ -563,7 +611,6 @@
         pool.room = s.room;
         if lacking > 0 {
             pool.spot &= s.spot;
-            pool.zone = s.zone.as_ref();
             pool.tasks += lacking;
         }
     }
@@ -578,7 +625,7 @@
                 out.close.push(id);
             }
         }
-        if p.tasks == 0 {
+        if p.tasks + p.bound == 0 {
             out.close.extend(p.surplus(o, &mut keep));
             if let Some(m) = p.swap(o) {
                 missing.push(m);
@@ -586,21 +633,23 @@
             continue;
         }
         let mut wanted = p.lack(o);
-        // What is closing is nearer than anything rented.
+        let mut overdue = p.overdue;
+        // What is closing is nearer than anything rented, and has room for what waited for long.
         for (id, h) in &v.hosts {
-            if wanted > 0.2
+            if wanted.max(overdue) > 0.2
                 && h.state == HostState::Closing
                 && p.types.iter().any(|t| t.sku == h.kind)
-                && !out.give_back.contains(id)
             {
+                out.give_back.retain(|x| x != id);
                 out.reopen.push(id.clone());
                 wanted = (wanted - 1.0).max(0.0);
+                overdue -= 1.0;
             }
         }
         missing.push(Missing {
             wanted,
             types: p.types,
-            zone: p.zone,
+            zones: None,
             spot: p.spot && o.policy.use_spot,
             room: p.room,
             tasks: p.tasks,
@@ -622,7 +671,7 @@
         let mut offers: Vec<(f64, &MachineType, &String, bool)> = Vec::new();
         for t in &m.types {
             for z in &t.yards {
-                if m.zone.is_some_and(|x| x != z) {
+                if m.zones.as_ref().is_some_and(|l| !l.contains(&z.as_str())) {
                     continue;
                 }
                 for spot in [true, false] {
@@ -786,7 +835,7 @@
     let per = types.iter().map(|t| Room::of(t).cpus).max()?;
     Some(Missing {
         types,
-        zone: None,
+        zones: None,
         spot: false,
         room: Room {
             cpus: 1000,
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -11,6 +11,7 @@
 pub mod why;
 
 use crate::fairness::floor::{self, Standing};
+use crate::fairness::served;
 use crate::hosts::model::{Host, HostState};
 use crate::ids::HostId;
 use crate::jobs::commit::Intent;
@@ -149,6 +150,8 @@
     turn: (bool, u64),
     /// Goes before other arrays for the floor of its class.
     floored: bool,
+    /// Goes before its equals, so that its job begins.
+    begins: bool,
 }
 
 impl<'a> Entry<'a> {
@@ -267,6 +270,32 @@
     (spec.rank, hopeless, if hopeless { 0 } else { work })
 }
 
+/// Arrays of which no task was ever started, and gangs, go before their equals after this long: with the least work
+/// first the largest of a class came last for as long as smaller ones came, and some began after a third of a day.
+const BEGIN: Micros = 120 * SECOND;
+
+/// Whether a job has waited for so long that it should begin. Its own owner goes first: all would take the same.
+fn late_to_begin(s: &Scene<'_>, job: &Job, home: bool) -> bool {
+    let age = s.wall.saturating_sub(job.since);
+    let own = if home { BEGIN } else { BEGIN + OTHERS_PUSH };
+    if s.forecast || age < own || job.piped {
+        return false;
+    }
+    match job.spec.kind {
+        Shape::Service => false,
+        Shape::Gang => true,
+        Shape::Array => !served::started(job),
+    }
+}
+
+/// Among those that should begin the oldest goes first.
+fn oldest(a: &Entry<'_>, b: &Entry<'_>) -> std::cmp::Ordering {
+    match a.begins && b.begins {
+        true => a.job.since.cmp(&b.job.since),
+        false => std::cmp::Ordering::Equal,
+    }
+}
+
 /// Makes the plan.
 pub fn plan<'a>(s: &Scene<'a>) -> Plan {
     let v = s.view;
@@ -322,7 +351,18 @@
         } else {
             (n as usize).min(waiting)
         };
-        for (from, count, raised) in [(0, n, p), (n, waiting - n, 0)] {
+        // One task of an array, a gang as a whole.
+        let begins = match kind {
+            _ if !late_to_begin(s, job, home) => 0,
+            Shape::Gang => waiting,
+            _ => 1,
+        };
+        let rest = n.max(begins);
+        for (from, count, raised) in [
+            (0, begins, p),
+            (begins, rest - begins, p),
+            (rest, waiting - rest, 0),
+        ] {
             if count > 0 {
                 queue.push(Entry {
                     id,
@@ -335,6 +375,7 @@
                     rank,
                     turn,
                     floored: false,
+                    begins: count == begins && from == 0,
                 });
             }
         }
@@ -349,6 +390,8 @@
     queue.sort_by(|a, b| {
         (!a.entitled, a.rank, !a.floored)
             .cmp(&(!b.entitled, b.rank, !b.floored))
+            .then(b.begins.cmp(&a.begins))
+            .then_with(|| oldest(a, b))
             .then(a.turn.0.cmp(&b.turn.0))
             .then(b.home.cmp(&a.home))
             .then((b.raised > 0).cmp(&(a.raised > 0)))
@@ -421,6 +464,9 @@
     // Kinds of tasks for which no machine had room: room only becomes less.
     let mut full: HashSet<Kind<'_>> = HashSet::new();
     let mut stuck: HashSet<(Kind<'_>, Rank)> = HashSet::new();
+    // Where jobs have their tasks to which zones matter, with what this plan gives them: such a job may stand in
+    // several entries, and each took the half of its tasks that may be in one zone.
+    let mut spread: HashMap<&JobId, HashMap<&str, u32>> = HashMap::new();
     // Jobs with something to write. Arrays are written after all others, so that they never use up what
     // those behind them could have.
     let (mut firsts, mut arrays) = (0, 0);
@@ -494,7 +540,7 @@
                     spec,
                     home: e.home,
                     gpus,
-                    zones: zones(v, e.job),
+                    zones: spread.remove(e.id).unwrap_or_else(|| zones(v, e.job)),
                     waiting,
                     got: Vec::new(),
                 };
@@ -537,6 +583,9 @@
                     }
                     rest -= 1;
                 }
+                if zoned {
+                    spread.insert(e.id, run.zones);
+                }
                 got = run.got;
             }
         }
@@ -916,6 +965,12 @@
     true
 }
 
+/// Whether one more task of a job may go to a zone, by what it has elsewhere.
+pub fn may_go(v: &View, job: &Job, zone: &str) -> bool {
+    let s = &job.spec;
+    s.zone.as_ref().is_none_or(|z| z == zone) && zone_ok(s, &zones(v, job), zone)
+}
+
 /// Whether the machine has probably cached the job's image.
 fn warm(spec: &Spec, sp: &Spot<'_>) -> bool {
     sp.images.is_some_and(|i| i.contains(&spec.image))
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use common::LIMITS;
+use coppergw::fairness::Raises;
 use coppergw::hosts::model::{Host, HostState};
 use coppergw::jobs::commit::{Intent, Limits, stage};
 use coppergw::jobs::model::{Block, JobId, Record, Room, Spec};
@@ -18,6 +19,7 @@
 use coppergw::wire::user::{Rank, Shape};
 use foldhash::{HashMap, HashMapExt, HashSet, HashSetExt};
 use proptest::prelude::*;
+use std::collections::BTreeMap;
 
 const CAP: i64 = 6000;
 
@@ -426,3 +428,91 @@
     let more = few(3, &|j| *j == first);
     assert_eq!(placed(&more, Shape::Service), services[..4]);
 }
+
+/// A view of one machine with 4 CPUs, and jobs with so many tasks that were submitted so long ago.
+fn waiting(kind: Shape, jobs: &[(u32, u64)]) -> View {
+    let mut v = View::default();
+    v.put(keys::TYPES, &to_value(&types()), 1);
+    let part = Part {
+        owner: "n".into(),
+        lease: 1,
+        term: 1,
+    };
+    (0..PARTS).for_each(|n| v.put(&keys::part(n), &to_value(&part), 2));
+    v.put(&keys::host("m-000000"), &to_value(&common::up("small")), 3);
+    for (k, (tasks, age)) in jobs.iter().enumerate() {
+        let s = Spec {
+            submitted: (500 - age) * SECOND,
+            team: "free".into(),
+            ..common::spec(kind, *tasks)
+        };
+        v.put(&keys::job(&format!("req-{k}")), &record(&s), 4);
+    }
+    v
+}
+
+/// What each job gets, in the order of the plan.
+fn given(v: &View) -> Vec<(String, usize)> {
+    let list = scene_plan(v).into_iter();
+    list.filter_map(|i| match i {
+        Intent::Place { job, tasks } => Some((job.to_string(), tasks.len())),
+        _ => None,
+    })
+    .collect()
+}
+
+/// The job with the least work goes first, and so the largest of a class never, while smaller ones come. After a
+/// while one task of it does, and no more: the others still go by their work.
+#[test]
+fn the_largest_begins_although_smaller_ones_come() {
+    let small = [(3, 100), (2, 90), (4, 80)];
+    let with = |large| {
+        let mut jobs = vec![large];
+        jobs.extend(small);
+        given(&waiting(Shape::Array, &jobs))
+    };
+    let job = |k: u32, n| (format!("req-{k}"), n);
+    assert_eq!(with((300, 110)), [job(2, 2), job(1, 2)]);
+    assert_eq!(with((300, 130)), [job(0, 1), job(2, 2), job(1, 1)]);
+    // Several of them: the oldest first.
+    let two = waiting(Shape::Array, &[(300, 130), (300, 140), (1, 10)]);
+    assert_eq!(given(&two)[..2], [job(1, 1), job(0, 1)]);
+    // One that has begun waits for its turn.
+    let mut v = waiting(Shape::Array, &[(300, 130), (4, 80)]);
+    let mut b = Block(vec![coppergw::jobs::model::Slot::Waiting(0); 256]);
+    b.0[0] = coppergw::jobs::model::Slot::Waiting(1);
+    let s = v.jobs["req-0"].spec.as_ref().clone();
+    v.put(&keys::job("req-0"), &to_value(&Record(s, b)), 9);
+    assert_eq!(given(&v), [job(1, 4)]);
+}
+
+/// A gang that waited for long goes before smaller ones, as a whole.
+#[test]
+fn a_large_gang_has_its_turn_with_age() {
+    let with = |age| given(&waiting(Shape::Gang, &[(4, age), (2, 30), (1, 20)]));
+    let job = |k: u32, n| (format!("req-{k}"), n);
+    assert_eq!(with(40), [job(2, 1), job(1, 2)]);
+    assert_eq!(with(130), [job(0, 4)]);
+}
+
+/// A job of which a part is raised stands in the queue twice. Together they keep to its zones: each took the half that
+/// may be in one, and all of it was there.
+#[test]
+fn a_job_in_two_entries_keeps_to_its_zones() {
+    for kind in [Shape::Service, Shape::Array] {
+        let mut v = waiting(kind, &[(4, 10)]);
+        let s = Spec {
+            spread: true,
+            ..v.jobs["req-0"].spec.as_ref().clone()
+        };
+        v.put(&keys::job("req-0"), &record(&s), 9);
+        let raises = BTreeMap::from([("req-0".to_string(), (2u32, 1u32))]);
+        let raises = Raises { jobs: raises };
+        v.put(keys::RAISES, &to_value(&raises), 10);
+        let n: usize = given(&v).iter().map(|x| x.1).sum();
+        assert_eq!(
+            n, 2,
+            "{kind:?}: at most half in the only zone with machines"
+        );
+    }
+}
