Tests: gangs, mute and hung machines in the generated rules; ends, leases, shifts of 10 ms

A refusal, a cancellation and an outage within three seconds. All controllers away for longer than a lease. A team at its limit whose cancelled job has not left.

--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -345,6 +345,65 @@
     }
 }
 
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 1024, failure_persistence: None, rng_seed: proptest::test_runner::RngSeed::Fixed(37), ..ProptestConfig::default() })]
+    /// Jobs are cancelled at the very moment at which one is refused, and everybody a moment later, for longer than
+    /// `CANCEL`: refusal, writes, answers of others, reads under way and the outage within three seconds, in shifts of
+    /// 10 ms. Who is refused may be any, and one of the others may end and be back.
+    #[test]
+    fn cancelled_at_the_very_moment_of_a_refusal(
+        who in 0usize..3,
+        refusal in 0u64..300,
+        outage in 0u64..300,
+        writes in proptest::collection::vec((0u64..300, 0usize..3, 0usize..TASKS), 1..8),
+        polls in proptest::collection::vec((0u64..300, 0usize..3, 0usize..TASKS), 0..8),
+        reads in proptest::collection::vec((0u64..300, 0u64..120, 0usize..3), 0..8),
+        words in proptest::collection::vec((0u64..300, 0u64..60, 0usize..3, 0usize..3), 0..8),
+        end in (0u64..1200, 0usize..3),
+    ) {
+        let mut w = World::new(false);
+        w.round();
+        let mut events: Vec<(u64, u8, usize, usize)> = vec![(refusal, 0, who, 0), (outage, 1, 0, 0)];
+        events.extend(writes.iter().map(|(t, n, k)| (*t, 2, *n, *k)));
+        events.extend(polls.iter().map(|(t, n, k)| (*t, 3, *n, *k)));
+        for (t, span, n) in &reads {
+            events.extend([(*t, 4, *n, 0), (t + span, 5, *n, 0)]);
+        }
+        for (t, span, n, to) in words.iter().filter(|x| x.2 != x.3) {
+            events.extend([(*t, 6, *n, *to), (t + span, 7, *n, 0)]);
+        }
+        if end.0 < 400 {
+            events.push((end.0, 8, end.1, 0));
+        }
+        events.extend((0..30).map(|k| (k * 10 + 3, 9, 0, 0)));
+        events.sort_unstable();
+        let mut at = 0;
+        for (t, what, n, k) in events {
+            w.pass((t - at) * SECOND / 100);
+            at = t;
+            match what {
+                0 => w.nodes[n].refused = true,
+                1 => w.outage = true,
+                2 => w.withdraw(n, k),
+                3 => w.ask_state(n, k),
+                4 => w.begin_read(n),
+                5 => w.end_read(n),
+                6 => w.ask(n, k),
+                7 => {
+                    w.give_word(n, 0);
+                    w.hear_word(n, 0);
+                }
+                8 => w.end(n),
+                _ => (0..TASKS).for_each(|k| w.report(k)),
+            }
+        }
+        (0..110).for_each(|_| w.round());
+        for (k, t) in w.tasks.iter().enumerate() {
+            prop_assert!(w.told[k].is_none() || t.gone, "{} goes on", name(k));
+        }
+    }
+}
+
 /// The meeting itself: refused alone, another confirms, then an outage for all that lasts longer than
 /// `CANCEL`. An owner that took that for an outage in which nobody can have cancelled anything kept the
 /// tasks alive for as long as it lasted.
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -1,7 +1,9 @@
 //! The Rules under generated failures, with a virtual clock and stand-ins written here: a state
 //! service, a cloud that takes machines back, and workers. The controllers' own state machines run
 //! as they are. Messages get lost, or arrive late, also once more after they arrived: transactions, direct
-//! orders and reports. Machines go deaf: their reports arrive, answers and orders to them are lost.
+//! orders and reports. Machines go deaf: their reports arrive, answers and orders to them are lost. They go mute:
+//! reports reach nobody, direct orders do. They hang, and go on within their lease with the orders held meanwhile.
+//! Every cancellation is told at once; what a cancelled job left must be gone in time.
 
 mod common;
 
@@ -20,19 +22,33 @@
 use coppergw::wire::to_value;
 use coppergw::wire::user::{Rank, Shape};
 use coppergw::wire::worker::{Cause, Order, Report, TaskReport, TaskStatus};
-use coppergw::workers::{Machine, orders, reconcile};
+use coppergw::workers::{Machine, may_answer, orders, reconcile};
 use foldhash::{HashMap, HashMapExt, HashSet, HashSetExt};
 use proptest::prelude::*;
 use std::collections::BTreeMap;
 
 const LEASE: Micros = 18 * SECOND;
+const CANCEL: Micros = 48 * SECOND;
+/// A gang of which not all came exits after this.
+const GANG_WAIT: Micros = 40 * SECOND;
 const NODES: usize = 3;
+/// One job in so many is a gang, of so many tasks.
+const GANGS: u32 = 5;
+const GANG_TASKS: u32 = 3;
 
 #[derive(Clone)]
 struct Task {
     attempt: u64,
     status: TaskStatus,
     cause: Option<Cause>,
+    since: Micros,
+}
+
+impl Task {
+    fn exit(&mut self, cause: Cause) {
+        self.status = TaskStatus::Exited;
+        self.cause = Some(cause);
+    }
 }
 
 struct Worker {
@@ -43,6 +59,8 @@
     token: u64,
     renewed: Micros,
     deaf: bool,
+    mute: bool,
+    hung: bool,
     tasks: BTreeMap<String, Task>,
 }
 
@@ -51,6 +69,8 @@
     lease: u64,
     view: View,
     seen: usize,
+    /// When it heard everything last: up to then it knows of every cancellation.
+    synced: Micros,
     machines: BTreeMap<HostId, Machine>,
 }
 
@@ -71,6 +91,10 @@
     jobs: u32,
     completed: HashSet<String>,
     ended: HashMap<String, bool>,
+    /// Jobs whose users were told that they are cancelled, and when.
+    told: HashMap<String, Micros>,
+    /// Whether each gang was seen to run as a whole.
+    whole: u32,
 }
 
 fn machine_type() -> MachineType {
@@ -102,6 +126,8 @@
             jobs: 0,
             completed: HashSet::new(),
             ended: HashMap::new(),
+            told: HashMap::new(),
+            whole: 0,
         };
         w.store.put(keys::TYPES.into(), &vec![machine_type()]);
         for _ in 0..4 {
@@ -113,6 +139,7 @@
                 lease: 0,
                 view: View::default(),
                 seen: 0,
+                synced: 0,
                 machines: BTreeMap::new(),
             });
             w.sync(n);
@@ -143,6 +170,8 @@
             token: 0,
             renewed: self.now,
             deaf: false,
+            mute: false,
+            hung: false,
             tasks: BTreeMap::new(),
         });
     }
@@ -171,6 +200,7 @@
             }
         }
         node.seen = self.store.log.len();
+        node.synced = self.now;
         node.view.rev = self.store.rev;
     }
 
@@ -379,7 +409,7 @@
     fn answer(&mut self, n: usize, r: &Report) -> Option<(u64, Vec<Order>)> {
         let id: HostId = r.deckhand.as_str().into();
         let term = self.term(n, part_of(&id))?;
-        if r.baton > term {
+        if r.baton > term || !may_answer(LEASE, CANCEL, self.nodes[n].synced, self.now) {
             return None;
         }
         let now = self.now;
@@ -399,6 +429,7 @@
         } else {
             Vec::new()
         };
+        none_cancelled(&self.nodes[n].view, &list);
         Some((term, list))
     }
 
@@ -411,8 +442,7 @@
                         && t.attempt == *attempt
                         && t.status != TaskStatus::Exited
                     {
-                        t.status = TaskStatus::Exited;
-                        t.cause = Some(Cause::Stopped);
+                        t.exit(Cause::Stopped);
                     }
                 }
                 Order::Clear { shard, attempt } => {
@@ -446,24 +476,88 @@
             !self.ended.get(job).is_some_and(|done| *done),
             "{task} starts although its job is done"
         );
+        let told = self.told.get(job).copied().unwrap_or(self.now);
+        assert!(
+            self.now <= told + CANCEL,
+            "{task} starts although cancelled"
+        );
         let done = self.completed.contains(task);
+        let gang = is_gang(job);
         self.workers[w].tasks.insert(
             task.into(),
             Task {
                 attempt,
-                status: if done {
-                    TaskStatus::Exited
-                } else {
-                    TaskStatus::Running
+                status: match (done, gang) {
+                    (true, _) => TaskStatus::Exited,
+                    (false, true) => TaskStatus::Waiting,
+                    (false, false) => TaskStatus::Running,
                 },
                 cause: done.then_some(Cause::Done),
+                since: self.now,
             },
         );
     }
 
+    /// Tasks of gangs find one another by their attempt: they begin when all are there, wait no longer than they
+    /// may, and exit when one of them is gone.
+    fn gangs(&mut self) {
+        let now = self.now;
+        let mut there: HashMap<(String, u64), u32> = HashMap::new();
+        let mine = |k: &str| {
+            k.split_once('/')
+                .map(|x| x.0.to_string())
+                .expect("task name")
+        };
+        for x in self.workers.iter().filter(|x| x.alive) {
+            for (k, t) in x
+                .tasks
+                .iter()
+                .filter(|(_, t)| t.status != TaskStatus::Exited)
+            {
+                *there.entry((mine(k), t.attempt)).or_default() += 1;
+            }
+        }
+        for w in 0..self.workers.len() {
+            let keys: Vec<String> = self.workers[w].tasks.keys().cloned().collect();
+            for k in keys {
+                let job = mine(&k);
+                let hung = self.workers[w].hung;
+                let Some(t) = self.workers[w].tasks.get_mut(&k) else {
+                    continue;
+                };
+                let all = there.get(&(job.clone(), t.attempt)).copied() == Some(GANG_TASKS);
+                if !is_gang(&job) || hung {
+                    continue;
+                }
+                match t.status {
+                    TaskStatus::Waiting if all => {
+                        t.status = TaskStatus::Running;
+                        self.whole += 1;
+                    }
+                    TaskStatus::Waiting if now - t.since > GANG_WAIT => t.exit(Cause::Incomplete),
+                    TaskStatus::Running if !all => t.exit(Cause::Peers),
+                    _ => {}
+                }
+            }
+        }
+    }
+
+    /// What a cancelled job left is gone in time. A lease that has run out ended its tasks when it did.
+    fn gone_in_time(&self) {
+        for x in self.workers.iter().filter(|x| x.alive) {
+            for (k, t) in &x.tasks {
+                let told = k.split_once('/').and_then(|(job, _)| self.told.get(job));
+                if let (Some(told), true) = (told, t.status != TaskStatus::Exited) {
+                    let until = self.now.min(x.renewed + LEASE);
+                    assert!(until <= told + CANCEL, "ran_cancelled: {k} on {}", x.name);
+                }
+            }
+        }
+    }
+
     /// A worker reports to a node; the answer comes back or is lost.
     fn exchange(&mut self, w: usize, n: usize, fate: u8) {
-        if !self.workers[w].alive {
+        if !self.workers[w].alive || self.workers[w].mute || self.workers[w].hung {
             return;
         }
         let sent = self.now;
@@ -504,10 +598,11 @@
         };
         m.sent(&list);
         let term = m.term;
+        none_cancelled(&self.nodes[n].view, &list);
         if self.workers[w].deaf {
             return;
         }
-        if fate.is_multiple_of(4) || !self.workers[w].alive {
+        if fate.is_multiple_of(4) || !self.workers[w].alive || self.workers[w].hung {
             self.late.push(Late::Orders(w, term, session, list));
             return;
         }
@@ -547,7 +642,10 @@
             Late::Txn(t) => {
                 self.store.apply(&t);
             }
-            Late::Orders(w, term, session, list) => self.deliver(w, term, session, &list),
+            Late::Orders(w, term, session, list) => match self.workers[w].hung {
+                true => self.late.push(Late::Orders(w, term, session, list)),
+                false => self.deliver(w, term, session, &list),
+            },
             Late::Report(n, r) => {
                 self.answer(n, &r);
             }
@@ -556,6 +654,7 @@
 
     fn pass_time(&mut self, t: Micros) {
         self.now += t;
+        self.gone_in_time();
         for x in &mut self.workers {
             if x.alive && self.now - x.renewed > LEASE {
                 x.session += 1;
@@ -592,9 +691,9 @@
             9 | 10 => self.direct(n, w, a / 3),
             11 => self.arrive(b as usize),
             12 => self.pass_time(u64::from(a % 64) * SECOND / 8),
-            13 => match a % 5 {
-                // A lease ends, its node knowing or not; a node starts anew; a machine is returned, or goes
-                // deaf, or hears again.
+            13 => match a % 7 {
+                // A lease ends, its node knowing or not; a node starts anew; a machine is returned; it goes deaf,
+                // or mute, or hangs, or is well again; a task of it fails.
                 0 => {
                     let key = keys::member(&self.nodes[n].name);
                     self.store.apply(&Txn {
@@ -609,6 +708,7 @@
                         lease: 0,
                         view: View::default(),
                         seen: 0,
+                        synced: 0,
                         machines: BTreeMap::new(),
                     };
                 }
@@ -623,6 +723,8 @@
                     self.rent();
                 }
                 3 => self.workers[w].deaf ^= true,
+                4 => self.workers[w].mute ^= true,
+                5 => self.workers[w].hung ^= true,
                 _ => {
                     let mut hit = None;
                     for (k, t) in &mut self.workers[w].tasks {
@@ -637,21 +739,26 @@
                 }
             },
             14 => {
-                if let Some((k, t)) = self.workers[w]
-                    .tasks
-                    .iter_mut()
-                    .find(|(_, t)| t.status == TaskStatus::Running)
-                {
-                    t.status = TaskStatus::Exited;
-                    t.cause = Some(Cause::Done);
-                    self.completed.insert(k.clone());
+                let runs = |x: &Worker| {
+                    let mut list = x
+                        .tasks
+                        .iter()
+                        .filter(|(_, t)| t.status == TaskStatus::Running);
+                    list.next().map(|(k, t)| (k.clone(), t.attempt))
+                };
+                let x = &self.workers[w];
+                if let (Some((k, attempt)), false) = (runs(x), x.hung || !x.alive) {
+                    self.complete(&k, attempt);
                 }
             }
             _ => {
                 let key = keys::job(&job);
                 if !b.is_multiple_of(4) || self.jobs == 0 {
                     let kind = [Shape::Array, Shape::Service, Shape::Array][a as usize % 3];
-                    let s = spec(kind, 1 + u32::from(a % 3), self.now);
+                    let s = match self.jobs % GANGS {
+                        0 => spec(Shape::Gang, GANG_TASKS, self.now),
+                        _ => spec(kind, 1 + u32::from(a % 3), self.now),
+                    };
                     self.store.put(
                         keys::job(&format!("req-{}", self.jobs)),
                         &Record(s, Block::default()),
@@ -660,6 +767,7 @@
                 } else if let Some((v, stamp)) = self.store.keys.get(&key).cloned() {
                     let Record(mut s, first): Record = v.deserialized().expect("job");
                     s.cancelled = true;
+                    self.told.entry(job.to_string()).or_insert(self.now);
                     self.store.apply(&Txn {
                         guards: vec![Guard { path: key, stamp }],
                         then: vec![Change::Put {
@@ -671,9 +779,39 @@
                 }
             }
         }
+        self.gangs();
         self.check();
     }
 
+    /// A task completes; a gang does as a whole.
+    fn complete(&mut self, task: &str, attempt: u64) {
+        let (job, _) = task.split_once('/').expect("task name");
+        let gang = is_gang(job);
+        let of_it = |k: &str, t: &Task| {
+            k.split_once('/').is_some_and(|(j, _)| j == job)
+                && t.attempt == attempt
+                && t.status == TaskStatus::Running
+        };
+        let able = self.workers.iter().filter(|x| x.alive && !x.hung);
+        let there: usize = able
+            .map(|x| x.tasks.iter().filter(|(k, t)| of_it(k, t)).count())
+            .sum();
+        if gang && there < GANG_TASKS as usize {
+            // The others will notice.
+            return;
+        }
+        for x in self.workers.iter_mut().filter(|x| x.alive) {
+            for (k, t) in &mut x.tasks {
+                let peer = gang && k.split_once('/').is_some_and(|(j, _)| j == job);
+                let hit = t.status == TaskStatus::Running && t.attempt == attempt;
+                if (k == task || peer) && hit {
+                    t.exit(Cause::Done);
+                    self.completed.insert(k.clone());
+                }
+            }
+        }
+    }
+
     /// What is written as done was done; what ended stays ended.
     fn check(&mut self) {
         for n in &self.nodes {
@@ -703,7 +841,9 @@
     /// Without further failures everything that can end does.
     fn settle(&mut self) {
         self.late.clear();
-        self.workers.iter_mut().for_each(|w| w.deaf = false);
+        for w in &mut self.workers {
+            (w.deaf, w.mute, w.hung) = (false, false, false);
+        }
         // Services would keep their room for ever.
         let jobs: Vec<(String, Record)> = self
             .store
@@ -715,6 +855,8 @@
         for (k, Record(mut s, first)) in jobs {
             if s.kind == Shape::Service {
                 s.cancelled = true;
+                let id = k.trim_start_matches("c/job/").to_string();
+                self.told.entry(id).or_insert(self.now);
                 self.store.put(k, &Record(s, first));
             }
         }
@@ -740,6 +882,25 @@
     }
 }
 
+/// That a job is a gang is in its number, so that it is known when its record is gone.
+fn is_gang(job: &str) -> bool {
+    let number = job.strip_prefix("req-").and_then(|n| n.parse().ok());
+    number.is_some_and(|n: u32| n.is_multiple_of(GANGS))
+}
+
+/// Nobody who knows that a job is cancelled has a task of it start.
+fn none_cancelled(view: &View, list: &[Order]) {
+    for o in list {
+        if let Order::Start { shard, .. } = o {
+            let job = shard.split_once('/').and_then(|(j, _)| view.jobs.get(j));
+            assert!(
+                job.is_some_and(|j| !j.cancelled()),
+                "{shard} is told to start"
+            );
+        }
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 300,
@@ -785,10 +946,10 @@
         w.sync(n);
     }
     w.store.put(
-        keys::job("req-0"),
+        keys::job("req-1"),
         &Record(spec(Shape::Service, 1, w.now), Block::default()),
     );
-    w.jobs = 1;
+    w.jobs = 2;
     let run = |w: &mut World| {
         for n in 0..NODES {
             w.sync(n);
@@ -840,7 +1001,7 @@
     while !w.late.is_empty() {
         w.arrive(0);
     }
-    let (v, _) = w.store.keys.get("c/job/req-0").expect("job");
+    let (v, _) = w.store.keys.get("c/job/req-1").expect("job");
     let Record(_, b): Record = v.deserialized().expect("job");
     assert!(matches!(b.0[0], Slot::Placed(_)), "still placed: {b:?}");
 }
@@ -860,8 +1021,8 @@
         }
     }
     let job = Record(spec(Shape::Service, 1, w.now), Block::default());
-    w.store.put(keys::job("req-0"), &job);
-    w.jobs = 1;
+    w.store.put(keys::job("req-1"), &job);
+    w.jobs = 2;
     for n in 0..NODES {
         w.sync(n);
         w.pass(n, 1);
@@ -876,7 +1037,7 @@
 }
 
 fn slot(w: &World) -> Slot {
-    let (v, _) = w.store.keys.get("c/job/req-0").expect("job");
+    let (v, _) = w.store.keys.get("c/job/req-1").expect("job");
     let Record(_, b): Record = v.deserialized().expect("job");
     b.0[0].clone()
 }
@@ -885,7 +1046,7 @@
 fn stop(w: &mut World, n: usize) {
     w.sync(n);
     let stop = [Intent::Stop {
-        job: "req-0".into(),
+        job: "req-1".into(),
         index: 0,
         attempt: 1,
         grace: 0,
@@ -976,3 +1137,76 @@
     }
     assert!(!stays(&mut w, new), "the new token was seen, and the stop");
 }
+
+/// All controllers are away for longer than the workers' leases, with gangs, arrays and services on their machines and
+/// a job cancelled just before: each task is gone by its lease, sessions are new, and nothing is concluded from the
+/// old attempts but by these; then everything that can end does.
+#[test]
+fn all_controllers_are_away_for_longer_than_a_lease() {
+    for away in [10, 20, 60, 300] {
+        let mut w = World::new();
+        let kinds = [
+            (Shape::Gang, GANG_TASKS),
+            (Shape::Array, 3),
+            (Shape::Service, 2),
+        ];
+        for (k, (kind, tasks)) in kinds.into_iter().enumerate() {
+            let job = Record(spec(kind, tasks, w.now), Block::default());
+            w.store.put(keys::job(&format!("req-{k}")), &job);
+        }
+        w.jobs = 3;
+        let round = |w: &mut World| {
+            for n in 0..NODES {
+                w.step(2, n as u8, 0);
+                w.pass(n, 1);
+                w.sync(n);
+            }
+            for i in 0..w.workers.len() {
+                let part = part_of(&w.workers[i].name);
+                if let Some(n) = (0..NODES).find(|n| w.term(*n, part).is_some()) {
+                    w.exchange(i, n, 2);
+                }
+            }
+            w.gangs();
+            w.check();
+            w.pass_time(SECOND);
+        };
+        (0..8).for_each(|_| round(&mut w));
+        let runs = |w: &World| -> usize {
+            let all = w.workers.iter().flat_map(|x| x.tasks.values());
+            all.filter(|t| t.status == TaskStatus::Running).count()
+        };
+        assert_eq!((runs(&w), w.whole), (8, GANG_TASKS), "all of it runs");
+        // The service is cancelled, its user told, and nobody has acted on it.
+        let (v, _) = w.store.keys["c/job/req-2"].clone();
+        let Record(mut s, first): Record = v.deserialized().expect("job");
+        s.cancelled = true;
+        w.store.put(keys::job("req-2"), &Record(s, first));
+        w.told.insert("req-2".into(), w.now);
+        for n in 0..NODES {
+            w.step(13, n as u8, 0);
+            let name = w.nodes[n].name.clone();
+            w.nodes[n] = Node {
+                name,
+                lease: 0,
+                view: View::default(),
+                seen: 0,
+                synced: 0,
+                machines: BTreeMap::new(),
+            };
+        }
+        (0..away).for_each(|_| w.pass_time(SECOND));
+        let lasting = away * SECOND < LEASE;
+        assert_eq!(runs(&w) > 0, lasting, "away for {away} s");
+        (0..8).for_each(|_| round(&mut w));
+        assert_eq!(runs(&w), 6, "what goes on runs again, the rest is gone");
+        w.settle();
+        let left: Vec<&String> = w
+            .store
+            .keys
+            .keys()
+            .filter(|k| k.starts_with("c/job/"))
+            .collect();
+        assert!(left.is_empty(), "{left:?}");
+    }
+}
--- a/tests/teams.rs
+++ b/tests/teams.rs
@@ -407,6 +407,62 @@
     }
 }
 
+/// The team is at its limit, its job is cancelled, and of its machines some cannot be asked when the owner changes:
+/// what may still run there counts for whoever owns them, whatever was cancelled, and comes back task by task.
+#[test]
+fn what_was_cancelled_counts_until_it_has_left() {
+    let mut f = Fleet::new(3, 4);
+    let placed = |host: &str| {
+        Slot::Placed(coppergw::jobs::model::Placement {
+            attempt: 1,
+            host: host.into(),
+            session: 1,
+            stop: None,
+        })
+    };
+    let old = Spec {
+        cancelled: true,
+        submitted: 1,
+        ..job("capped", Shape::Array, Rank::Normal, 4, 1)
+    };
+    let slots = ["m-000000", "m-000000", "m-000001", "m-000002"].map(placed);
+    let record = Record(old, Block(slots.to_vec()));
+    f.store.put(keys::job("req-000001"), &record);
+    f.job(
+        "req-000002",
+        &job("capped", Shape::Array, Rank::Normal, 9, 1),
+    );
+    for left in 0..=4u32 {
+        // Every part has a new owner, with a higher term.
+        for n in 0..PARTS {
+            let owner = format!("n{}", (n + left) % 3);
+            let p = Part {
+                owner,
+                lease: 2,
+                term: 2 + u64::from(left),
+            };
+            f.store.put(keys::part(n), &p);
+        }
+        let v = f.view();
+        let p = f.plan(&v, None, false);
+        f.carry_out(&v, &p.intents);
+        let v = f.view();
+        assert_eq!(
+            Fleet::placed(&v, "req-000002"),
+            left,
+            "no more, and none is lost for good"
+        );
+        assert!(used(&v, "capped") <= 4 * CPU);
+        let gone = Intent::Left {
+            job: "req-000001".into(),
+            index: left,
+            attempt: 1,
+            done: false,
+        };
+        f.carry_out(&v, &[gone]);
+    }
+}
+
 /// With more room free than gangs need, machines in use close so that what is free goes first. Each look
 /// closed as many again: all that were in use closed, and others were rented for the next gang.
 #[test]
