--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -270,22 +270,17 @@
     (spec.rank, hopeless, if hopeless { 0 } else { work })
 }
 
-/// Arrays of which no task was ever started, and gangs, go before their equals after this long: with the least work
+/// One task of an array of which none was ever started goes before its equals after this long: with the least work
 /// first the largest of a class came last for as long as smaller ones came, and some began after a third of a day.
+/// Not gangs: with the oldest of these first, the small ones waited behind large ones that nobody had room for.
 const BEGIN: Micros = 120 * SECOND;
 
-/// Whether a job has waited for so long that it should begin. Its own owner goes first: all would take the same.
+/// Whether an array has waited for so long that it should begin. Its own owner goes first: all would take the same.
 fn late_to_begin(s: &Scene<'_>, job: &Job, home: bool) -> bool {
     let age = s.wall.saturating_sub(job.since);
     let own = if home { BEGIN } else { BEGIN + OTHERS_PUSH };
-    if s.forecast || age < own || job.piped {
-        return false;
-    }
-    match job.spec.kind {
-        Shape::Service => false,
-        Shape::Gang => true,
-        Shape::Array => !served::started(job),
-    }
+    let array = job.spec.kind == Shape::Array && !job.piped;
+    array && !s.forecast && age >= own && !served::started(job)
 }
 
 /// Among those that should begin the oldest goes first.
@@ -351,12 +346,7 @@
         } else {
             (n as usize).min(waiting)
         };
-        // One task of an array, a gang as a whole.
-        let begins = match kind {
-            _ if !late_to_begin(s, job, home) => 0,
-            Shape::Gang => waiting,
-            _ => 1,
-        };
+        let begins = usize::from(late_to_begin(s, job, home));
         let rest = n.max(begins);
         for (from, count, raised) in [
             (0, begins, p),
