--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -71,6 +71,8 @@
     seen: usize,
     /// When it heard everything last: up to then it knows of every cancellation.
     synced: Micros,
+    /// The state service refuses it.
+    cut: bool,
     machines: BTreeMap<HostId, Machine>,
 }
 
@@ -140,6 +142,7 @@
                 view: View::default(),
                 seen: 0,
                 synced: 0,
+                cut: false,
                 machines: BTreeMap::new(),
             });
             w.sync(n);
@@ -178,6 +181,9 @@
 
     /// A node hears everything, and has a lease again if it lost it.
     fn sync(&mut self, n: usize) {
+        if self.nodes[n].cut {
+            return;
+        }
         let key = keys::member(&self.nodes[n].name);
         let have = self.store.keys.contains_key(&key) && self.nodes[n].lease > 0;
         if !have {
@@ -214,6 +220,9 @@
     }
 
     fn parts(&mut self, n: usize) {
+        if self.nodes[n].cut {
+            return;
+        }
         let node = &self.nodes[n];
         let want = assign(&node.view.parts, &node.view.members, self.now);
         let mut t = Txn::default();
@@ -365,11 +374,14 @@
             }
         }
         let staged = stage(&node.view, &intents, &HashSet::new(), &|_| false, LIMITS);
-        for t in sessions {
+        let cut = node.cut;
+        for t in sessions.into_iter().filter(|_| !cut) {
             self.store.apply(&t);
         }
         for s in staged {
             match fate % 4 {
+                // What is sent to a service that refuses may have been on its way before.
+                1.. if cut => {}
                 0 => self.late.push(Late::Txn(s.txn)),
                 _ => {
                     self.store.apply(&s.txn);
@@ -691,9 +703,9 @@
             9 | 10 => self.direct(n, w, a / 3),
             11 => self.arrive(b as usize),
             12 => self.pass_time(u64::from(a % 64) * SECOND / 8),
-            13 => match a % 7 {
+            13 => match a % 8 {
                 // A lease ends, its node knowing or not; a node starts anew; a machine is returned; it goes deaf,
-                // or mute, or hangs, or is well again; a task of it fails.
+                // or mute, or hangs, or is well again; the state service refuses a node, or no more; a task fails.
                 0 => {
                     let key = keys::member(&self.nodes[n].name);
                     self.store.apply(&Txn {
@@ -709,6 +721,7 @@
                         view: View::default(),
                         seen: 0,
                         synced: 0,
+                        cut: self.nodes[n].cut,
                         machines: BTreeMap::new(),
                     };
                 }
@@ -725,6 +738,7 @@
                 3 => self.workers[w].deaf ^= true,
                 4 => self.workers[w].mute ^= true,
                 5 => self.workers[w].hung ^= true,
+                6 => self.nodes[n].cut ^= true,
                 _ => {
                     let mut hit = None;
                     for (k, t) in &mut self.workers[w].tasks {
@@ -841,6 +855,7 @@
     /// Without further failures everything that can end does.
     fn settle(&mut self) {
         self.late.clear();
+        self.nodes.iter_mut().for_each(|n| n.cut = false);
         for w in &mut self.workers {
             (w.deaf, w.mute, w.hung) = (false, false, false);
         }
@@ -1192,6 +1207,7 @@
                 view: View::default(),
                 seen: 0,
                 synced: 0,
+                cut: false,
                 machines: BTreeMap::new(),
             };
         }
