--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -1226,3 +1226,37 @@
         assert!(left.is_empty(), "{left:?}");
     }
 }
+
+/// A controller is cut off with the workers of its zone for longer than their lease, and a job of theirs is cancelled
+/// through another, just after or long after. It goes on answering them, but not for longer than the job may be there.
+#[test]
+fn a_controller_cut_off_with_its_workers_answers_no_longer_than_it_may() {
+    for after in [0, 5, 20, 40] {
+        let mut w = World::new();
+        let (n, m) = placed(&mut w);
+        w.exchange(m, n, 2);
+        w.exchange(m, n, 2);
+        assert_eq!(w.workers[m].tasks.len(), 1, "it runs");
+        w.nodes[n].cut = true;
+        for t in 0..after + 70 {
+            if t == after {
+                let (v, _) = w.store.keys["c/job/req-1"].clone();
+                let Record(mut s, first): Record = v.deserialized().expect("job");
+                s.cancelled = true;
+                w.store.put(keys::job("req-1"), &Record(s, first));
+                w.told.insert("req-1".into(), w.now);
+            }
+            w.sync(n);
+            w.exchange(m, n, 2);
+            w.pass(n, 1);
+            w.pass_time(SECOND);
+            let lives = !w.workers[m].tasks.is_empty();
+            assert!(
+                lives || t >= 28,
+                "it is kept alive for as long as may be: {t} s"
+            );
+        }
+        assert!(w.workers[m].tasks.is_empty());
+        assert!(matches!(slot(&w), Slot::Placed(_)), "and concludes nothing");
+    }
+}
