--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -2,6 +2,7 @@
 
 mod common;
 
+use common::SETTINGS;
 use coppergw::jobs::model::{Refusal, admit};
 use coppergw::settings::Settings;
 use coppergw::wire::cloud::MachineType;
@@ -11,38 +12,12 @@
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 
-const SETTINGS: &str = r#"
-node_name = "a"
-front = "127.0.0.1:1"
-peer_bind = "127.0.0.1:2"
-[outside]
-cloud = "127.0.0.1:3"
-state = "127.0.0.1:4"
-[deployment]
-zones = ["a", "b"]
-[[deployment.teams]]
-name = "free"
-[[deployment.teams]]
-name = "capped"
-cpus_max = 4.0
-gpus_max = 2.0
-[deployment.workers]
-report_s = 5.0
-lease_s = 26.5
-gang_wait_s = 40.0
-gang_peer_s = 5.0
-cancel_s = 56.5
-[deployment.state]
-rps = 200.0
-write_rps = 40.0
-value_kb = 32.0
-txn_ops = 16
-[deployment.cloud]
-rps = 6.0
-list_lag_s = 6.0
-[deployment.machine_limits]
-max_connections = 2500
-"#;
+/// Settings with a team that is limited in CPUs and GPUs.
+fn settings() -> Settings {
+    let limits = "cpus_max = 4.0\ngpus_max = 2.0";
+    let text = SETTINGS.replace("cpus_max = 4.0", limits);
+    Settings::parse("s.toml", &text).expect("settings")
+}
 
 /// Two types: one with GPUs in zone a, one without in zones a and b.
 fn types() -> BTreeMap<String, MachineType> {
@@ -65,8 +40,7 @@
     let Ok(s) = decode::<Submission>(&encode(body)) else {
         return 400;
     };
-    let settings = Settings::parse("s.toml", SETTINGS).expect("settings");
-    match admit(&s, &settings, &types(), 1) {
+    match admit(&s, &settings(), &types(), 1) {
         Ok(_) => 201,
         Err(Refusal::Malformed(_)) => 400,
         Err(Refusal::Impossible(_)) => 422,
@@ -193,8 +167,7 @@
                 }
             }
             let s: Submission = decode(&encode(&s)).expect("a submission");
-            let settings = Settings::parse("s.toml", SETTINGS).expect("settings");
-            let e = admit(&s, &settings, &types(), 1);
+            let e = admit(&s, &settings(), &types(), 1);
             assert!(matches!(e, Err(Refusal::Malformed(_))), "{field} {bad}");
         }
     }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -23,6 +23,41 @@
     wall: 0,
 };
 
+/// A platform's settings: two teams, one with a limit.
+pub const SETTINGS: &str = r#"
+node_name = "a"
+area = "z"
+front = "127.0.0.1:1"
+peer_bind = "127.0.0.1:2"
+something_new = 7
+[outside]
+cloud = "127.0.0.1:3"
+state = "127.0.0.1:4"
+[deployment]
+zones = ["z"]
+[[deployment.teams]]
+name = "free"
+[[deployment.teams]]
+name = "capped"
+cpus_max = 4.0
+[deployment.workers]
+report_s = 3.0
+lease_s = 18.0
+gang_wait_s = 40.0
+gang_peer_s = 5.0
+cancel_s = 48.0
+[deployment.state]
+rps = 200.0
+write_rps = 40.0
+value_kb = 32.0
+txn_ops = 16
+[deployment.cloud]
+rps = 6.0
+list_lag_s = 6.0
+[deployment.machine_limits]
+max_connections = 2500
+"#;
+
 /// A job of one plain class; tests change what matters to them.
 pub fn spec(kind: Shape, tasks: u32) -> Spec {
     Spec {
--- a/tests/formats.rs
+++ b/tests/formats.rs
@@ -1,5 +1,8 @@
 //! Formats: what is written can be read again, and arbitrary bytes never do harm.
 
+mod common;
+
+use common::SETTINGS;
 use coppergw::jobs::front::names_jobs;
 use coppergw::jobs::model::{Block, Placement, Refusal, Slot, admit};
 use coppergw::policy::Policy;
@@ -13,40 +16,6 @@
 use proptest::prelude::*;
 use std::collections::BTreeMap;
 
-const SETTINGS: &str = r#"
-node_name = "a"
-area = "z"
-front = "127.0.0.1:1"
-peer_bind = "127.0.0.1:2"
-something_new = 7
-[outside]
-cloud = "127.0.0.1:3"
-state = "127.0.0.1:4"
-[deployment]
-zones = ["z"]
-[[deployment.teams]]
-name = "free"
-[[deployment.teams]]
-name = "capped"
-cpus_max = 4.0
-[deployment.workers]
-report_s = 3.0
-lease_s = 18.0
-gang_wait_s = 40.0
-gang_peer_s = 5.0
-cancel_s = 48.0
-[deployment.state]
-rps = 200.0
-write_rps = 40.0
-value_kb = 32.0
-txn_ops = 16
-[deployment.cloud]
-rps = 6.0
-list_lag_s = 6.0
-[deployment.machine_limits]
-max_connections = 2500
-"#;
-
 fn settings() -> Settings {
     Settings::parse("s.toml", SETTINGS).expect("settings")
 }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -778,18 +778,8 @@
                         &Record(s, Block::default()),
                     );
                     self.jobs += 1;
-                } else if let Some((v, stamp)) = self.store.keys.get(&key).cloned() {
-                    let Record(mut s, first): Record = v.deserialized().expect("job");
-                    s.cancelled = true;
-                    self.told.entry(job.to_string()).or_insert(self.now);
-                    self.store.apply(&Txn {
-                        guards: vec![Guard { path: key, stamp }],
-                        then: vec![Change::Put {
-                            put: keys::job(&job),
-                            v: to_value(&Record(s, first)),
-                            permit: None,
-                        }],
-                    });
+                } else if self.store.keys.contains_key(&key) {
+                    self.cancel(&job);
                 }
             }
         }
@@ -797,6 +787,15 @@
         self.check();
     }
 
+    /// A job is cancelled, and its user is told at that moment.
+    fn cancel(&mut self, job: &str) {
+        let (v, _) = &self.store.keys[&keys::job(job)];
+        let Record(mut s, first): Record = v.deserialized().expect("job");
+        s.cancelled = true;
+        self.store.put(keys::job(job), &Record(s, first));
+        self.told.entry(job.to_string()).or_insert(self.now);
+    }
+
     /// A task completes; a gang does as a whole.
     fn complete(&mut self, task: &str, attempt: u64) {
         let (job, _) = task.split_once('/').expect("task name");
@@ -860,20 +859,16 @@
             (w.deaf, w.mute, w.hung) = (false, false, false);
         }
         // Services would keep their room for ever.
-        let jobs: Vec<(String, Record)> = self
-            .store
-            .keys
-            .iter()
-            .filter(|(k, _)| k.starts_with("c/job/"))
-            .map(|(k, (v, _))| (k.clone(), v.deserialized().expect("job")))
-            .collect();
-        for (k, Record(mut s, first)) in jobs {
-            if s.kind == Shape::Service {
-                s.cancelled = true;
-                let id = k.trim_start_matches("c/job/").to_string();
-                self.told.entry(id).or_insert(self.now);
-                self.store.put(k, &Record(s, first));
-            }
+        let service = |v: &ciborium::Value| {
+            let Record(s, _) = v.deserialized().expect("job");
+            s.kind == Shape::Service
+        };
+        let jobs = self.store.keys.iter().filter_map(|(k, (v, _))| {
+            let id = k.strip_prefix("c/job/").filter(|_| service(v))?;
+            Some(id.to_string())
+        });
+        for id in jobs.collect::<Vec<String>>() {
+            self.cancel(&id);
         }
         for _ in 0..80 {
             for n in 0..NODES {
@@ -1193,11 +1188,7 @@
         };
         assert_eq!((runs(&w), w.whole), (8, GANG_TASKS), "all of it runs");
         // The service is cancelled, its user told, and nobody has acted on it.
-        let (v, _) = w.store.keys["c/job/req-2"].clone();
-        let Record(mut s, first): Record = v.deserialized().expect("job");
-        s.cancelled = true;
-        w.store.put(keys::job("req-2"), &Record(s, first));
-        w.told.insert("req-2".into(), w.now);
+        w.cancel("req-2");
         for n in 0..NODES {
             w.step(13, n as u8, 0);
             let name = w.nodes[n].name.clone();
@@ -1240,11 +1231,7 @@
         w.nodes[n].cut = true;
         for t in 0..after + 70 {
             if t == after {
-                let (v, _) = w.store.keys["c/job/req-1"].clone();
-                let Record(mut s, first): Record = v.deserialized().expect("job");
-                s.cancelled = true;
-                w.store.put(keys::job("req-1"), &Record(s, first));
-                w.told.insert("req-1".into(), w.now);
+                w.cancel("req-1");
             }
             w.sync(n);
             w.exchange(m, n, 2);
