--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -233,6 +233,7 @@
         let gangs = wish.steps && terms[GANGS as usize].is_some();
         let gang = |j: &Job| j.spec.kind == Shape::Gang && j.queued() > 0;
         let waits = gangs && view.waiting().any(|(_, j)| gang(j));
+        let many = workers::many_mute(&machines);
         let mut services = view.waiting_services().filter(|(_, j)| j.queued() > 0);
         let serves = services.any(|(id, _)| mine(id));
         let open = |id: &HostId, h: &Host| {
@@ -241,7 +242,7 @@
             }
             match machines.get(id) {
                 Some(m) => {
-                    let session = workers::opens(m, h.session, self.settings.report, now);
+                    let session = workers::opens(m, h.session, many, (self.settings.report, now));
                     session.map(|session| Open {
                         session,
                         mine: true,
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -605,7 +605,7 @@
 }
 
 /// What to make of a machine that may be mute. While many are, it is no fault of single machines, and returning
-/// or draining them would leave the fleet without: then only placements keep off them.
+/// or draining them would leave the fleet without.
 pub fn mute(m: &Machine, many: bool, lease: Micros, now: Micros) -> Mute {
     let silent = now.saturating_sub(m.reported);
     if !m.mute() || many || silent <= lease {
@@ -633,10 +633,17 @@
 }
 
 /// The session in which a machine of ours may be given tasks, if it may: it must have answered under our token,
-/// and lately, and reach us. That it is up need not be written first.
-pub fn opens(m: &Machine, session: u64, report: Micros, now: Micros) -> Option<u64> {
+/// and lately, and reach us, unless `many` do not: then there is nowhere better, and what starts there runs for a
+/// lease at least. That it is up need not be written first.
+pub fn opens(
+    m: &Machine,
+    session: u64,
+    many: bool,
+    (report, now): (Micros, Micros),
+) -> Option<u64> {
     let lately = now.saturating_sub(m.heard) < report * 2;
-    (m.fenced() && lately && !m.mute() && m.session >= session).then_some(m.session)
+    let reaches = many || !m.mute();
+    (m.fenced() && lately && reaches && m.session >= session).then_some(m.session)
 }
 
 /// After so many leases without a report a machine is returned.
