Read once more: whether many machines are mute is asked only where one is; zones of a job are counted once

Behaviour unchanged. Plans looked at every machine for it although none was mute, and hosts::decide counted a bound job's tasks by zone anew for each zone, also where it lacked nothing.

--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -17,7 +17,7 @@
 use decide::{KEEP_BOOKS, Pass, Rounds, Wish};
 use foldhash::HashSet;
 use futures_lite::FutureExt;
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
@@ -233,7 +233,10 @@
         let gangs = wish.steps && terms[GANGS as usize].is_some();
         let gang = |j: &Job| j.spec.kind == Shape::Gang && j.queued() > 0;
         let waits = gangs && view.waiting().any(|(_, j)| gang(j));
-        let many = workers::many_mute(&machines);
+        // Seldom asked for: without mute machines no plan looks at all of them.
+        let many_mute = OnceCell::new();
+        let many =
+            |m: &Machine| m.mute() && *many_mute.get_or_init(|| workers::many_mute(&machines));
         let mut services = view.waiting_services().filter(|(_, j)| j.queued() > 0);
         let serves = services.any(|(id, _)| mine(id));
         let open = |id: &HostId, h: &Host| {
@@ -242,7 +245,8 @@
             }
             match machines.get(id) {
                 Some(m) => {
-                    let session = workers::opens(m, h.session, many, (self.settings.report, now));
+                    let session =
+                        workers::opens(m, h.session, many(m), (self.settings.report, now));
                     session.map(|session| Open {
                         session,
                         mine: true,
--- a/src/hosts/mod.rs
+++ b/src/hosts/mod.rs
@@ -106,7 +106,7 @@
     all.sort_unstable();
     all.dedup();
     let count = all.len();
-    all.retain(|z| placement::may_go(v, j, z));
+    placement::keep_open(v, j, &mut all);
     (all.len() < count).then_some(all)
 }
 
@@ -532,7 +532,7 @@
         let run = s.estimate.max(SECOND) as f64 / 1e6;
         let tasks = f64::from(queued) + f64::from(j.placed) / 2.0;
         let key: Vec<&str> = types.iter().map(|t| t.sku.as_str()).collect();
-        let zones = bound(v, j, &types);
+        let zones = (lacking > 0).then(|| bound(v, j, &types)).flatten();
         let pool = pools.entry(key).or_insert_with(|| Pool::new(types));
         let spot = placement::spot(j);
         if s.spot && !spot {
@@ -589,7 +589,7 @@
         }
         // What other zones get through is no help to it, and what is rented for all comes where it is cheapest:
         // a job bound to a zone that had lost its machines waited there for good.
-        if let (Some(_), true) = (&zones, lacking > 0) {
+        if zones.is_some() {
             let due = tasks * run / per / (horizon(o, s, default) as f64 / 1e6);
             missing.push(Missing {
                 types: pool.types.clone(),
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -955,10 +955,11 @@
     true
 }
 
-/// Whether one more task of a job may go to a zone, by what it has elsewhere.
-pub fn may_go(v: &View, job: &Job, zone: &str) -> bool {
+/// Keeps the zones to which one more task of a job may go, by what it has elsewhere.
+pub fn keep_open(v: &View, job: &Job, list: &mut Vec<&str>) {
     let s = &job.spec;
-    s.zone.as_ref().is_none_or(|z| z == zone) && zone_ok(s, &zones(v, job), zone)
+    let has = zones(v, job);
+    list.retain(|z| s.zone.as_ref().is_none_or(|x| x == z) && zone_ok(s, &has, z));
 }
 
 /// Whether the machine has probably cached the job's image.
