--- a/review/standin/world.py
+++ b/review/standin/world.py
@@ -279,3 +279,15 @@
         "cloud": {"rps": 4.0, "list_lag_s": 3.0},
         "machine_limits": {"core_share": 0.12, "ram_mb": 104.0, "max_connections": 2500},
     }
+
+
+def agri():
+    """Settings like those of inzira-agri-freight, in one zone."""
+    return {
+        "zones": ["musanze-yard"],
+        "teams": [{"name": "depot-crew", "cpus": 0.0, "cpus_max": 0.0, "gpus": 0.0, "gpus_max": 0.0}],
+        "workers": {"report_s": 3.0, "lease_s": 16.0, "gang_wait_s": 35.0, "gang_peer_s": 4.0, "cancel_s": 46.0},
+        "state": {"rps": 150.0, "write_rps": 25.0, "value_kb": 4.0, "txn_ops": 12},
+        "cloud": {"rps": 2.0, "list_lag_s": 4.0},
+        "machine_limits": {"core_share": 0.16, "ram_mb": 104.0, "max_connections": 1800},
+    }
