--- a/review/standin/world.py
+++ b/review/standin/world.py
@@ -31,19 +31,21 @@
 def run_case(folder, settings, case, limit_s=118.0):
     """Runs `case(world, trouble)`, which returns what was broken or None, and ends the process with 0, 1 or 2."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
-    world = World(os.path.join(folder, "record.txt"), settings)
-    code = 2
+    world, code = None, 2
     try:
+        world = World(os.path.join(folder, "record.txt"), settings)
         world.note("case", trouble=trouble, program=program())
         broken = asyncio.run(asyncio.wait_for(case(world, trouble), limit_s))
         world.note("result", broken=broken)
         code = 1 if broken else 0
         print(broken or "the rule held")
-    except (NotRun, asyncio.TimeoutError, OSError) as error:
-        world.note("could not run", error=repr(error))
+    except Exception as error:  # whatever it is, it is not a broken rule
         print(f"could not run: {error!r}")
+        if world is not None:
+            world.note("could not run", error=repr(error))
     finally:
-        world.close()
+        if world is not None:
+            world.close()
     sys.exit(code)
 
 
