Jobs: consecutive tasks in the same state share an entry in memory

Every controller was over its 104 MB, was ended, loaded the same jobs at its next start and was ended again, 30 times in 75 s.

Cause: Job::new built a list of task states for each block, 64 bytes for each task, also for blocks that were never written. Evidence: resident memory rose by 6.1 to 6.2 MB with each accepted array, stayed level while they waited, and was the same after a start; in a heap profile with 6 arrays 38.3 of 38.7 MB came from unplaced_block under Job::new. Scheduling passes, the load and the memory for each job (1.5 KB) are ruled out by the same runs.

Change: TaskBlock holds runs of consecutive tasks in the same state, so memory grows with the state changes within a block instead of the number of tasks. Scans for waiting, placed and done tasks step over runs. Stored and sent forms are unchanged (golden files untouched). Tests that built or indexed the list use the block's functions instead; what they assert is the same.

--- a/benches/growth.rs
+++ b/benches/growth.rs
@@ -118,7 +118,7 @@
                 })
             })
             .collect();
-        let record = JobRecord(job_spec(job, TASKS_PER_JOB, 800), TaskBlock(tasks));
+        let record = JobRecord(job_spec(job, TASKS_PER_JOB, 800), tasks);
         values.push((keys::job(&job_name(job)), to_value(&record)));
     }
     for job in 0..machine_count / 100 {
@@ -233,7 +233,7 @@
                 _ => task.clone(),
             }
         });
-        let record = JobRecord((*job.spec).clone(), TaskBlock(tasks.collect()));
+        let record = JobRecord((*job.spec).clone(), tasks.collect());
         revision += 1;
         cluster.put(&keys::job(&id), &to_value(&record), revision);
     }
@@ -331,7 +331,7 @@
             stop_grace_period: None,
         })
     };
-    let block = TaskBlock((0..TASKS_PER_JOB).map(placed).collect());
+    let block: TaskBlock = (0..TASKS_PER_JOB).map(placed).collect();
     let mut revision = 10 * machine_count as u64;
     let (pending_record, placed_record) = (
         to_value(&JobRecord(spec.clone(), TaskBlock::default())),
--- a/src/fairness/service_levels.rs
+++ b/src/fairness/service_levels.rs
@@ -112,7 +112,7 @@
 
 /// Returns whether a task of a job was ever started.
 pub fn has_started(job: &Job) -> bool {
-    job.placed > 0 || job.done > 0 || job.task_states().any(|(_, task)| task.last_attempt() > 0)
+    job.placed > 0 || job.done > 0 || job.last_attempt() > 0
 }
 
 /// Returns the service levels of all classes and teams. A job with dependencies is counted, and its waiting
--- a/src/jobs/commit/block_writer.rs
+++ b/src/jobs/commit/block_writer.rs
@@ -159,7 +159,7 @@
         block: &TaskBlock,
     ) {
         draft.bytes +=
-            PLAIN_BLOCK_OVERHEAD_BYTES + block.0.iter().map(plain_slot_bytes).sum::<usize>();
+            PLAIN_BLOCK_OVERHEAD_BYTES + block.iter().map(plain_slot_bytes).sum::<usize>();
         if index == 0 {
             draft.bytes += ESTIMATED_RECORD_BYTES;
         }
@@ -198,10 +198,11 @@
         tasks_per_part: u32,
     ) -> Result<(), ValueTooLarge> {
         let before = self.job.blocks.get(index as usize);
-        let slots_before =
-            |part: u32| before.and_then(|block| slots_of_part(block, tasks_per_part, part));
+        let part_before = |part: u32| {
+            before.map(|block| block.slice(part.saturating_mul(tasks_per_part), tasks_per_part))
+        };
         let changed: Vec<(u32, StoredBlock)> = parts_of_block(block, tasks_per_part)
-            .filter(|(part, content)| slots_before(*part) != Some(content.0.as_slice()))
+            .filter(|(part, content)| part_before(*part).as_ref() != Some(content))
             .map(|(part, content)| (part, StoredBlock::Packed(content)))
             .collect();
         let max_bytes = self.limits.max_value_bytes;
@@ -228,10 +229,7 @@
         for (part, content) in parts_of_block(block, tasks_per_part) {
             let key = keys::block_part(self.id, index, tasks_per_part, part);
             let version = self.view.version(&key);
-            let never_placed = content
-                .0
-                .iter()
-                .all(|state| *state == TaskState::Waiting(0));
+            let never_placed = content.all(|state| *state == TaskState::Waiting(0));
             draft.preconditions.insert(key.clone(), version);
             // A missing part is read as one whose tasks were never placed.
             let implied = version == 0 && never_placed;
@@ -277,22 +275,14 @@
     }
 }
 
-/// Returns the slots of one part of a block.
-fn slots_of_part(block: &TaskBlock, tasks_per_part: u32, part: u32) -> Option<&[TaskState]> {
-    block
-        .0
-        .chunks(tasks_per_part.max(1) as usize)
-        .nth(part as usize)
-}
-
 /// Returns the parts of a block with their numbers.
 fn parts_of_block(
     block: &TaskBlock,
     tasks_per_part: u32,
 ) -> impl Iterator<Item = (u32, TaskBlock)> + '_ {
-    block
-        .0
-        .chunks(tasks_per_part.max(1) as usize)
-        .enumerate()
-        .map(|(part, slots)| (part as u32, TaskBlock(slots.to_vec())))
+    let tasks_per_part = tasks_per_part.max(1);
+    let starts = (0..block.len()).step_by(tasks_per_part as usize);
+    (0u32..)
+        .zip(starts)
+        .map(move |(part, start)| (part, block.slice(start, tasks_per_part)))
 }
--- a/src/jobs/commit/job_transaction.rs
+++ b/src/jobs/commit/job_transaction.rs
@@ -163,11 +163,7 @@
         let is_gang = self.job.spec.kind == JobKind::Gang;
         // The tasks of a gang discover their peers by the attempt number, so all get the same one.
         let last_gang_attempt = match is_gang {
-            true => self
-                .job
-                .task_states()
-                .map(|(_, state)| state.last_attempt())
-                .max(),
+            true => Some(self.job.last_attempt()),
             false => None,
         };
         for (index, machine, session) in tasks {
@@ -219,7 +215,7 @@
     /// Returns a task's state with the changes applied so far.
     fn task(&self, index: u32) -> Option<&TaskState> {
         match self.changed_blocks.get(&(index / TASKS_PER_BLOCK)) {
-            Some(block) => block.0.get((index % TASKS_PER_BLOCK) as usize),
+            Some(block) => block.get(index % TASKS_PER_BLOCK),
             None => self.job.task_state(index),
         }
     }
@@ -254,9 +250,7 @@
                 .changed_blocks
                 .entry(key.block)
                 .or_insert_with(|| block.clone());
-            if let Some(slot) = block.0.get_mut((index % TASKS_PER_BLOCK) as usize) {
-                *slot = state;
-            }
+            block.set(index % TASKS_PER_BLOCK, state);
         }
     }
 
@@ -324,8 +318,10 @@
 
     /// Returns the job's final state if it has ended.
     fn job_end(&self) -> Option<JobEnd> {
-        let all_tasks =
-            |test: fn(&TaskState) -> bool| self.blocks().all(|block| block.0.iter().all(test));
+        let all_tasks = |condition: fn(&TaskState) -> bool| {
+            let mut blocks = self.blocks();
+            blocks.all(|block| block.all(condition))
+        };
         if all_tasks(|state| *state == TaskState::Done) {
             return Some(JobEnd::Completed);
         }
@@ -339,14 +335,10 @@
     fn finalize(mut self, end: JobEnd) -> Option<TransactionDraft> {
         let job_key = keys::job(self.id);
         let job_version = self.view.version(&job_key);
-        let done = |block: &TaskBlock| {
-            let done = block.0.iter().filter(|state| **state == TaskState::Done);
-            done.count() as u32
-        };
         let finished_job = FinishedJob {
             // A cancelled job stays cancelled, even if all its tasks have completed since.
             cancelled: self.job.cancelled(),
-            done: self.blocks().map(done).sum(),
+            done: self.blocks().map(TaskBlock::done).sum(),
             finished_at: match self.limits.write_newer_layout {
                 true => self.limits.wall_clock,
                 false => 0,
--- a/src/jobs/model/packed_block.rs
+++ b/src/jobs/model/packed_block.rs
@@ -233,7 +233,7 @@
         let mut done = RunsBuilder::default();
         let mut waiting: BTreeMap<u32, RunsBuilder> = BTreeMap::new();
         let mut placed: BTreeMap<SharedPlacement, PlacementGroup<'_>> = BTreeMap::new();
-        for (slot, state) in (0u32..).zip(&block.0) {
+        for (slot, state) in (0u32..).zip(block.iter()) {
             match state {
                 TaskState::Waiting(0) => {}
                 TaskState::Waiting(attempts) => waiting.entry(*attempts).or_default().push(slot),
@@ -250,7 +250,7 @@
             }
         }
         PackedBlock {
-            len: block.0.len() as u32,
+            len: block.len(),
             done: done.runs,
             waiting: waiting
                 .into_iter()
@@ -279,6 +279,6 @@
         packed
             .done
             .for_each(len, |slot| states[slot] = TaskState::Done);
-        TaskBlock(states)
+        states.into()
     }
 }
--- a/src/jobs/model/records.rs
+++ b/src/jobs/model/records.rs
@@ -3,7 +3,7 @@
 
 use super::packed_block::PackedBlock;
 use super::task_block::PlainState;
-use super::{JobSpec, TASKS_PER_BLOCK, TaskBlock};
+use super::{JobSpec, TASKS_PER_BLOCK, TaskBlock, TaskState};
 use crate::time::Micros;
 use serde::de::value::MapAccessDeserializer;
 use serde::de::{MapAccess, SeqAccess, Visitor};
@@ -51,10 +51,10 @@
     }
 
     fn visit_seq<A: SeqAccess<'de>>(self, mut states: A) -> Result<StoredBlock, A::Error> {
-        let mut block = TaskBlock::default();
-        while let Some(state) = states.next_element::<PlainState>()? {
-            block.0.push(state.into());
-        }
+        let elements = std::iter::from_fn(|| states.next_element::<PlainState>().transpose());
+        let block = elements
+            .map(|element| element.map(TaskState::from))
+            .collect::<Result<TaskBlock, _>>()?;
         Ok(StoredBlock::Plain(block))
     }
 
--- a/src/jobs/model/task_block.rs
+++ b/src/jobs/model/task_block.rs
@@ -4,6 +4,7 @@
 use crate::ids::MachineId;
 use crate::time::Micros;
 use serde::{Deserialize, Serialize};
+use std::ops::Range;
 
 /// Number of tasks in a block. It must not change, because it is part of the layout of the stored state.
 pub const TASKS_PER_BLOCK: u32 = 256;
@@ -48,9 +49,190 @@
     }
 }
 
+/// Consecutive tasks in the same state.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct TaskRun {
+    /// Position after the last task of the run.
+    end: u32,
+    state: TaskState,
+}
+
 /// States of up to [`TASKS_PER_BLOCK`] tasks, in the order of their indexes.
+///
+/// Consecutive tasks in the same state share an entry, so that the memory of a block grows with the number of
+/// its state changes and not with the number of its tasks: of a large array, most tasks are waiting or done.
 #[derive(Clone, Debug, PartialEq, Eq, Default)]
-pub struct TaskBlock(pub Vec<TaskState>);
+pub struct TaskBlock {
+    /// Runs in ascending order. None is empty, and adjacent ones differ in state.
+    runs: Vec<TaskRun>,
+}
+
+impl TaskBlock {
+    /// Returns a block of `len` tasks in the same state.
+    pub fn uniform(len: u32, state: TaskState) -> TaskBlock {
+        match len {
+            0 => TaskBlock::default(),
+            end => TaskBlock {
+                runs: vec![TaskRun { end, state }],
+            },
+        }
+    }
+
+    /// Returns the number of tasks.
+    pub fn len(&self) -> u32 {
+        self.runs.last().map_or(0, |run| run.end)
+    }
+
+    /// Returns whether the block has no tasks: the stored form of a block that was not written yet.
+    pub fn is_empty(&self) -> bool {
+        self.runs.is_empty()
+    }
+
+    /// Returns the state of the task at a position.
+    pub fn get(&self, position: u32) -> Option<&TaskState> {
+        let run = self.runs.get(self.run_index(position))?;
+        Some(&run.state)
+    }
+
+    /// Changes the state of the task at a position. Positions after the last task are ignored.
+    pub fn set(&mut self, position: u32, state: TaskState) {
+        let index = self.run_index(position);
+        let Some(TaskRun { end, state: old }) = self.runs.get(index).cloned() else {
+            return;
+        };
+        if old == state {
+            return;
+        }
+        let has_tasks_before = self.run_start(index) < position;
+        let before = has_tasks_before.then(|| TaskRun {
+            end: position,
+            state: old.clone(),
+        });
+        let changed = TaskRun {
+            end: position + 1,
+            state,
+        };
+        let after = (position + 1 < end).then_some(TaskRun { end, state: old });
+        let replacement = before.into_iter().chain([changed]).chain(after);
+        self.runs.splice(index..=index, replacement);
+        let changed_index = index + usize::from(has_tasks_before);
+        self.merge_with_next(changed_index);
+        if let Some(previous) = changed_index.checked_sub(1) {
+            self.merge_with_next(previous);
+        }
+    }
+
+    /// Returns the states of all tasks.
+    pub fn iter(&self) -> impl Iterator<Item = &TaskState> {
+        self.runs()
+            .flat_map(|(positions, state)| std::iter::repeat_n(state, positions.len()))
+    }
+
+    /// Returns the states with the positions of the consecutive tasks in each of them.
+    pub fn runs(&self) -> impl Iterator<Item = (Range<u32>, &TaskState)> {
+        let starts = std::iter::once(0).chain(self.runs.iter().map(|run| run.end));
+        let ranges = starts.zip(&self.runs);
+        ranges.map(|(start, run)| (start..run.end, &run.state))
+    }
+
+    /// Returns whether a condition holds for the states of all tasks.
+    pub fn all(&self, condition: impl Fn(&TaskState) -> bool) -> bool {
+        self.runs.iter().all(|run| condition(&run.state))
+    }
+
+    /// Returns the number of tasks that are done.
+    pub fn done(&self) -> u32 {
+        let done = self.runs().filter(|(_, state)| **state == TaskState::Done);
+        done.map(|(positions, _)| positions.len() as u32).sum()
+    }
+
+    /// Returns up to `len` tasks from position `start` on.
+    #[must_use]
+    pub fn slice(&self, start: u32, len: u32) -> TaskBlock {
+        let end = start.saturating_add(len);
+        let mut slice = TaskBlock::default();
+        for (positions, state) in self.runs() {
+            let overlap = positions.start.max(start)..positions.end.min(end);
+            slice.extend_by(overlap.len() as u32, state);
+        }
+        slice
+    }
+
+    /// Overwrites the tasks from position `start` on by others. Those that would come after the last task of
+    /// this block are ignored.
+    pub fn overwrite(&mut self, start: u32, tasks: &TaskBlock) {
+        let len = self.len();
+        let mut result = self.slice(0, start);
+        let rest = self.slice(start.saturating_add(tasks.len()), len);
+        for part in [tasks, &rest] {
+            for (positions, state) in part.runs() {
+                let room = len - result.len();
+                result.extend_by(room.min(positions.len() as u32), state);
+            }
+        }
+        result.runs.shrink_to_fit();
+        *self = result;
+    }
+
+    /// Returns the memory that the block has allocated, in bytes. Names of machines are not included.
+    pub fn allocated_bytes(&self) -> usize {
+        self.runs.capacity() * size_of::<TaskRun>()
+    }
+
+    /// Returns the index of the run that contains a position, or the number of runs if none does.
+    fn run_index(&self, position: u32) -> usize {
+        self.runs.partition_point(|run| run.end <= position)
+    }
+
+    /// Returns the position of the first task of a run.
+    fn run_start(&self, index: usize) -> u32 {
+        match index.checked_sub(1) {
+            Some(previous) => self.runs[previous].end,
+            None => 0,
+        }
+    }
+
+    /// Merges a run with the next one if both have the same state.
+    fn merge_with_next(&mut self, index: usize) {
+        if let [run, next, ..] = &self.runs[index..]
+            && run.state == next.state
+        {
+            self.runs.remove(index);
+        }
+    }
+
+    /// Appends `count` tasks in the same state.
+    fn extend_by(&mut self, count: u32, state: &TaskState) {
+        if count == 0 {
+            return;
+        }
+        let end = self.len() + count;
+        match self.runs.last_mut() {
+            Some(last) if last.state == *state => last.end = end,
+            _ => self.runs.push(TaskRun {
+                end,
+                state: state.clone(),
+            }),
+        }
+    }
+}
+
+impl FromIterator<TaskState> for TaskBlock {
+    fn from_iter<T: IntoIterator<Item = TaskState>>(states: T) -> TaskBlock {
+        let mut block = TaskBlock::default();
+        for state in states {
+            block.extend_by(1, &state);
+        }
+        block.runs.shrink_to_fit();
+        block
+    }
+}
+
+impl From<Vec<TaskState>> for TaskBlock {
+    fn from(states: Vec<TaskState>) -> TaskBlock {
+        states.into_iter().collect()
+    }
+}
 
 /// Returns the number of blocks of a job with `task_count` tasks.
 pub fn block_count(task_count: u32) -> u32 {
@@ -62,7 +244,7 @@
     let len = task_count
         .saturating_sub(block * TASKS_PER_BLOCK)
         .min(TASKS_PER_BLOCK);
-    TaskBlock(vec![TaskState::Waiting(0); len as usize])
+    TaskBlock::uniform(len, TaskState::Waiting(0))
 }
 
 /// Returns the stored form of a grace period: 0 for none, otherwise milliseconds plus 1.
@@ -118,14 +300,14 @@
 
 impl Serialize for TaskBlock {
     fn serialize<S: serde::Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
-        serializer.collect_seq(self.0.iter().map(PlainState::from))
+        serializer.collect_seq(self.iter().map(PlainState::from))
     }
 }
 
 impl<'de> Deserialize<'de> for TaskBlock {
     fn deserialize<D: serde::Deserializer<'de>>(deserializer: D) -> Result<TaskBlock, D::Error> {
         let states: Vec<PlainState> = Vec::deserialize(deserializer)?;
-        Ok(TaskBlock(states.into_iter().map(TaskState::from).collect()))
+        Ok(states.into_iter().map(TaskState::from).collect())
     }
 }
 
@@ -139,3 +321,6 @@
     let (job, index) = name.rsplit_once('/')?;
     Some((job, index.parse().ok()?))
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/scheduling/attempt.rs
+++ b/src/scheduling/attempt.rs
@@ -7,7 +7,7 @@
 use super::queue::QueueEntry;
 use super::zones::{TasksByZone, zone_allowed};
 use crate::ids::MachineId;
-use crate::jobs::model::{JobSpec, Resources, TaskState};
+use crate::jobs::model::{JobSpec, Resources};
 use crate::wire::user::JobKind;
 
 /// A task index, its machine and the session of the machine's worker, as in `JobChange::Place`.
@@ -41,9 +41,7 @@
     ) -> PlacementAttempt<'a> {
         let task_indexes = entry
             .job
-            .task_states()
-            .filter(|(_, state)| matches!(state, TaskState::Waiting(_)))
-            .map(|(index, _)| index)
+            .waiting_indexes()
             .skip(entry.waiting_offset)
             .take((permitted as usize).min(MAX_TASKS_PER_ATTEMPT))
             .collect();
--- a/src/store/cluster_state/job.rs
+++ b/src/store/cluster_state/job.rs
@@ -5,6 +5,7 @@
 };
 use crate::time::Micros;
 use crate::wire::user::Priority;
+use std::ops::Range;
 use std::rc::Rc;
 
 /// An unfinished job. Modified only by `ClusterState`, which keeps the counters and indexes consistent.
@@ -106,24 +107,47 @@
     pub fn task_state(&self, index: u32) -> Option<&TaskState> {
         self.blocks
             .get((index / TASKS_PER_BLOCK) as usize)?
-            .0
-            .get((index % TASKS_PER_BLOCK) as usize)
+            .get(index % TASKS_PER_BLOCK)
     }
 
     /// Returns the states of all tasks with their indexes.
     pub fn task_states(&self) -> impl Iterator<Item = (u32, &TaskState)> {
-        self.blocks
-            .iter()
-            .flat_map(|block| block.0.iter())
-            .enumerate()
-            .map(|(index, state)| (index as u32, state))
+        self.task_runs()
+            .flat_map(|(indexes, state)| indexes.map(move |index| (index, state)))
+    }
+
+    /// Returns the states of the tasks with the indexes of the consecutive tasks in each of them. Far fewer
+    /// than the tasks of a large array.
+    pub fn task_runs(&self) -> impl Iterator<Item = (Range<u32>, &TaskState)> {
+        let first_indexes = (0u32..).step_by(TASKS_PER_BLOCK as usize);
+        first_indexes.zip(&self.blocks).flat_map(|(first, block)| {
+            block.runs().map(move |(positions, state)| {
+                let indexes = first + positions.start..first + positions.end;
+                (indexes, state)
+            })
+        })
+    }
+
+    /// Returns the indexes of the waiting tasks.
+    pub fn waiting_indexes(&self) -> impl Iterator<Item = u32> {
+        self.task_runs()
+            .filter(|(_, state)| matches!(state, TaskState::Waiting(_)))
+            .flat_map(|(indexes, _)| indexes)
+    }
+
+    /// Returns the largest number of attempts of a task so far; 0 if no task was started.
+    pub fn last_attempt(&self) -> u32 {
+        let attempts = self.task_runs().map(|(_, state)| state.last_attempt());
+        attempts.max().unwrap_or(0)
     }
 
     /// Returns the placements of all tasks on machines with their indexes.
     pub fn placements(&self) -> impl Iterator<Item = (u32, &Placement)> {
-        self.task_states().filter_map(|(index, state)| match state {
-            TaskState::Placed(placement) => Some((index, placement)),
-            _ => None,
-        })
+        self.task_runs()
+            .filter_map(|(indexes, state)| match state {
+                TaskState::Placed(placement) => Some((indexes, placement)),
+                _ => None,
+            })
+            .flat_map(|(indexes, placement)| indexes.map(move |index| (index, placement)))
     }
 }
--- a/src/store/cluster_state/task_blocks.rs
+++ b/src/store/cluster_state/task_blocks.rs
@@ -35,12 +35,8 @@
 
     /// Overwrites the tasks of this part in the block.
     fn overlay(&self, block: &mut TaskBlock, part: &TaskBlock) {
-        let tasks_per_part = self.tasks_per_part as usize;
-        let start = tasks_per_part.saturating_mul(self.part as usize);
-        let target_states = block.0.iter_mut().skip(start);
-        for (target, state) in target_states.zip(part.0.iter().take(tasks_per_part)) {
-            target.clone_from(state);
-        }
+        let start = self.tasks_per_part.saturating_mul(self.part);
+        block.overwrite(start, &part.slice(0, self.tasks_per_part));
     }
 }
 
@@ -164,7 +160,7 @@
         let (new_tasks_per_part, tasks) = match stored {
             None => (0, None),
             Some(StoredBlock::Plain(tasks) | StoredBlock::Packed(tasks)) => {
-                (0, (!tasks.0.is_empty()).then_some(tasks))
+                (0, (!tasks.is_empty()).then_some(tasks))
             }
             Some(StoredBlock::Split(new_tasks_per_part)) => {
                 let mut tasks = job.blocks[block as usize].clone();
@@ -217,12 +213,13 @@
 ) -> Vec<MachineId> {
     let new = &job.blocks[block as usize];
     let mut machines: Vec<MachineId> = Vec::new();
-    for position in 0..old.0.len().max(new.0.len()) {
-        let (old_state, new_state) = (old.0.get(position), new.0.get(position));
+    let (mut old_states, mut new_states) = (old.iter(), new.iter());
+    for position in 0..old.len().max(new.len()) {
+        let (old_state, new_state) = (old_states.next(), new_states.next());
         if old_state == new_state {
             continue;
         }
-        let index = block * TASKS_PER_BLOCK + position as u32;
+        let index = block * TASKS_PER_BLOCK + position;
         match old_state {
             Some(TaskState::Waiting(_)) => job.waiting -= 1,
             Some(TaskState::Done) => job.done -= 1,
--- a/src/workers/tests.rs
+++ b/src/workers/tests.rs
@@ -38,7 +38,7 @@
         cancelled,
         dependencies: Default::default(),
     };
-    let job = JobRecord(spec, TaskBlock(vec![task_state]));
+    let job = JobRecord(spec, TaskBlock::from(vec![task_state]));
     cluster.put(&keys::job("req-1"), &to_value(&job), 1);
     cluster
 }
--- a/tests/completion_races.rs
+++ b/tests/completion_races.rs
@@ -6,7 +6,7 @@
 use common::{LIMITS, Store, spec};
 use coppergw::jobs::commit::{JobChange, accept_submission, cancel, stage};
 use coppergw::jobs::model::{
-    FinishedJob, JobId, JobRecord, JobSpec, Placement, TaskState, unplaced_block,
+    FinishedJob, JobId, JobRecord, JobSpec, Placement, TaskBlock, TaskState, unplaced_block,
 };
 use coppergw::jobs::pipelines::job_answer;
 use coppergw::store::cluster_state::ClusterState;
@@ -65,24 +65,22 @@
             completed_tasks: HashMap::default(),
         };
         for (job_index, (id, tasks)) in JOBS.into_iter().enumerate() {
-            let place = |state: &mut TaskState| {
-                *state = TaskState::Placed(Placement {
-                    attempt: 1,
-                    machine: "m-1".into(),
-                    session: 1,
-                    stop_grace_period: None,
-                });
-            };
+            let placed = TaskState::Placed(Placement {
+                attempt: 1,
+                machine: "m-1".into(),
+                session: 1,
+                stop_grace_period: None,
+            });
             let mut first_block = unplaced_block(tasks, 0);
             let mut second_block = unplaced_block(tasks, 1);
             if job_index != 3 {
-                first_block.0.iter_mut().for_each(place);
-                second_block.0.iter_mut().for_each(place);
+                first_block = TaskBlock::uniform(first_block.len(), placed.clone());
+                second_block = TaskBlock::uniform(second_block.len(), placed);
             }
             world
                 .store
                 .put(keys::job(id), &JobRecord(job_spec(job_index), first_block));
-            if !second_block.0.is_empty() {
+            if !second_block.is_empty() {
                 world.store.put(keys::block(id, 1), &second_block);
             }
         }
--- a/tests/concurrent_failures/digests.rs
+++ b/tests/concurrent_failures/digests.rs
@@ -35,7 +35,7 @@
 fn cancelled_job() -> JobRecord {
     let mut job = spec(JobKind::Array, 1);
     job.cancelled = true;
-    JobRecord(job, TaskBlock(vec![TaskState::Waiting(0)]))
+    JobRecord(job, TaskBlock::from(vec![TaskState::Waiting(0)]))
 }
 
 /// Returns a view with three jobs that were cancelled by the revisions 2, 3 and 4.
--- a/tests/concurrent_failures/world.rs
+++ b/tests/concurrent_failures/world.rs
@@ -123,7 +123,7 @@
             };
             let job = JobRecord(
                 spec(JobKind::Array, 1),
-                TaskBlock(vec![TaskState::Placed(placement)]),
+                TaskBlock::from(vec![TaskState::Placed(placement)]),
             );
             store.put(keys::job(&job_id(task)), &job);
         }
--- a/tests/formats.rs
+++ b/tests/formats.rs
@@ -207,7 +207,7 @@
 
     #[test]
     fn task_blocks_round_trip(tasks in proptest::collection::vec(task_state(), 0..256)) {
-        let block = TaskBlock(tasks);
+        let block = TaskBlock::from(tasks);
         let bytes = encode(&to_value(&block));
         // A full block fits the smallest value size limit of any deployment.
         prop_assert!(bytes.len() < 32 * 1024);
--- a/tests/invariants/checks.rs
+++ b/tests/invariants/checks.rs
@@ -17,7 +17,7 @@
         for (key, (value, _)) in &self.store.keys {
             if let Some(job) = key.strip_prefix("c/job/") {
                 let JobRecord(_, block): JobRecord = value.deserialized().expect("job");
-                for (index, state) in block.0.iter().enumerate() {
+                for (index, state) in block.iter().enumerate() {
                     if *state == TaskState::Done {
                         assert!(
                             self.completed.contains(&format!("{job}/{index}")),
--- a/tests/invariants/main.rs
+++ b/tests/invariants/main.rs
@@ -144,7 +144,7 @@
     let (value, _) = world.store.keys.get("c/job/req-1").expect("job");
     let JobRecord(_, block): JobRecord = value.deserialized().expect("job");
     assert!(
-        matches!(block.0[0], TaskState::Placed(_)),
+        matches!(block.get(0), Some(TaskState::Placed(_))),
         "the task should still be placed: {block:?}"
     );
 }
@@ -186,7 +186,7 @@
 fn task_state(world: &World) -> TaskState {
     let (value, _) = world.store.keys.get("c/job/req-1").expect("job");
     let JobRecord(_, block): JobRecord = value.deserialized().expect("job");
-    block.0[0].clone()
+    block.get(0).expect("a task").clone()
 }
 
 /// Records a stop request of the owner for the task.
--- a/tests/large_clusters/schedules.rs
+++ b/tests/large_clusters/schedules.rs
@@ -173,7 +173,7 @@
 fn gang_avoids_spot_machines_after_two_lost_attempts() {
     for (lost_attempts, spot) in [(1, true), (2, false)] {
         let mut cluster = Cluster::new(&[(true, true), (true, true), (true, false), (true, false)]);
-        let block = TaskBlock(vec![TaskState::Waiting(lost_attempts); 2]);
+        let block = TaskBlock::from(vec![TaskState::Waiting(lost_attempts); 2]);
         let gang = job_spec(JobKind::Gang, Priority::Normal, 2, 8, 1);
         cluster.put(keys::job("req-1"), to_value(&JobRecord(gang, block)));
         let changes = cluster.schedule(&HashMap::new());
--- a/tests/pipelines.rs
+++ b/tests/pipelines.rs
@@ -703,7 +703,7 @@
     /// A block decodes to the same block in every form in which it is stored.
     #[test]
     fn stored_blocks_survive_a_round_trip(slots in proptest::collection::vec((0u8..4, 0u32..3, 0u8..5, 1u64..3), 0..256)) {
-        let block = TaskBlock(slots.iter().map(|(kind, attempt, machine, session)| match kind {
+        let block: TaskBlock = slots.iter().map(|(kind, attempt, machine, session)| match kind {
             0 => TaskState::Waiting(*attempt),
             1 => TaskState::Done,
             kind => TaskState::Placed(Placement {
@@ -712,7 +712,7 @@
                 session: *session,
                 stop_grace_period: (*kind == 3).then_some(6_000_000),
             }),
-        }).collect());
+        }).collect();
         for form in [StoredBlock::Plain(block.clone()), StoredBlock::Packed(block.clone()), StoredBlock::Split(64)] {
             prop_assert_eq!(from_value::<StoredBlock>(&to_value(&form)), Some(form));
         }
@@ -728,7 +728,7 @@
             stop_grace_period: None,
         })
     };
-    TaskBlock((0..tasks).map(place).collect())
+    (0..tasks).map(place).collect()
 }
 
 /// A record in the old layout, with 256 tasks on 256 machines, is too large to be rewritten after the limits
--- a/tests/quotas.rs
+++ b/tests/quotas.rs
@@ -456,7 +456,7 @@
         ..job("capped", JobKind::Array, Priority::Normal, 4, 1)
     };
     let slots = ["m-000000", "m-000000", "m-000001", "m-000002"].map(placed);
-    let record = JobRecord(cancelled_job, TaskBlock(slots.to_vec()));
+    let record = JobRecord(cancelled_job, TaskBlock::from(slots.to_vec()));
     cluster.store.put(keys::job("req-000001"), &record);
     cluster.job(
         "req-000002",
--- a/tests/reconciliation.rs
+++ b/tests/reconciliation.rs
@@ -55,7 +55,7 @@
         };
         view.put(
             &keys::job(&id),
-            &to_value(&JobRecord(spec, TaskBlock(slots))),
+            &to_value(&JobRecord(spec, TaskBlock::from(slots))),
             index as u64 + 1,
         );
     }
--- a/tests/scheduling.rs
+++ b/tests/scheduling.rs
@@ -588,8 +588,8 @@
     );
     // A large job that has started is placed in the regular order.
     let mut view = waiting_jobs(JobKind::Array, &[(300, 130), (4, 80)]);
-    let mut block = TaskBlock(vec![coppergw::jobs::model::TaskState::Waiting(0); 256]);
-    block.0[0] = coppergw::jobs::model::TaskState::Waiting(1);
+    let mut block = TaskBlock::from(vec![coppergw::jobs::model::TaskState::Waiting(0); 256]);
+    block.set(0, coppergw::jobs::model::TaskState::Waiting(1));
     let spec = view.jobs["req-0"].spec.as_ref().clone();
     view.put(&keys::job("req-0"), &to_value(&JobRecord(spec, block)), 9);
     assert_eq!(placements(&view), [job(1, 4)]);
--- a/tests/zones.rs
+++ b/tests/zones.rs
@@ -40,8 +40,10 @@
     }
 
     fn job(&mut self, id: &str, spec: &JobSpec, slots: Vec<TaskState>) {
-        self.0
-            .put(keys::job(id), &JobRecord(spec.clone(), TaskBlock(slots)));
+        self.0.put(
+            keys::job(id),
+            &JobRecord(spec.clone(), TaskBlock::from(slots)),
+        );
     }
 
     fn view(&self) -> ClusterState {
