Watch cache: the initial load applies each page before it reads the next one

Cause: load_prefix collected the untyped values of all pages of a prefix before applying the first. A finished task of 14 stored bytes takes 250 bytes that way.

Change: each page is applied on arrival. Nothing acts on the state before `loaded`, and what the list removes is still decided at its end.

--- a/src/store/watch_cache.rs
+++ b/src/store/watch_cache.rs
@@ -135,7 +135,8 @@
     }
 
     /// Returns whether the state was loaded at any time since the start. It is loaded again when the required
-    /// part of the service's log was compacted, and keeps its previous contents until then.
+    /// part of the service's log was compacted; each page that is read then replaces the previous contents of
+    /// its keys.
     pub fn was_loaded(&self) -> bool {
         self.complete_up_to.get() > 0
     }
--- a/src/store/watch_cache/initial_load.rs
+++ b/src/store/watch_cache/initial_load.rs
@@ -4,6 +4,7 @@
 use crate::store::client::RevisionRange;
 use crate::store::keys;
 use crate::wire::WireError;
+use crate::wire::state::Item;
 use foldhash::{HashSet, HashSetExt};
 
 impl WatchCache {
@@ -35,15 +36,17 @@
         Ok(())
     }
 
+    /// Lists a prefix and applies each page before the next one is read: the undecoded values of all pages
+    /// together would take many times the memory of the state that they describe.
     async fn load_prefix(&self, prefix: &str) -> Result<RevisionRange, WireError> {
-        let mut items = Vec::new();
-        let revisions = self.client.list(prefix, |item| items.push(item)).await?;
         let mut listed = HashSet::new();
-        let mut state = self.state.borrow_mut();
-        for item in items {
-            listed.insert(item.key.clone());
+        let apply = |item: Item| {
+            let mut state = self.state.borrow_mut();
             state.put(&item.key, &item.value, item.version);
-        }
+            listed.insert(item.key);
+        };
+        let revisions = self.client.list(prefix, apply).await?;
+        let mut state = self.state.borrow_mut();
         state.retain_prefix(prefix, &listed, revisions.smallest);
         Ok(revisions)
     }
--- a/tests/memory/job_states.rs
+++ b/tests/memory/job_states.rs
@@ -2,6 +2,7 @@
 
 use crate::common::spec;
 use crate::heap::{CONTROLLER_MEMORY_MB, HeapGrowth};
+use ciborium::Value;
 use coppergw::jobs::model::{JobRecord, MAX_TASKS, TASKS_PER_BLOCK, TaskBlock, block_count};
 use coppergw::store::cluster_state::ClusterState;
 use coppergw::store::keys;
@@ -17,6 +18,11 @@
 /// Share of a controller's memory that the arrays may use; the rest is for everything else.
 const MAX_MEMORY_MB: usize = CONTROLLER_MEMORY_MB / 2;
 
+/// Returns the value of a block whose tasks are done, in the form that every version reads.
+pub(crate) fn plain_done_block() -> Value {
+    to_value(&vec![(KIND_DONE, 0, "", 0, 0); TASKS_PER_BLOCK as usize])
+}
+
 fn name(number: u32) -> String {
     format!("req-{number:06}")
 }
@@ -46,7 +52,7 @@
 fn arrays_of_the_largest_size_that_are_nearly_done_fit_into_memory() {
     let growth = HeapGrowth::start();
     let mut view = ClusterState::default();
-    let done = to_value(&vec![(KIND_DONE, 0, "", 0, 0); TASKS_PER_BLOCK as usize]);
+    let done = plain_done_block();
     let record = to_value(&JobRecord(
         spec(JobKind::Array, MAX_TASKS),
         TaskBlock::default(),
--- a/tests/memory/main.rs
+++ b/tests/memory/main.rs
@@ -4,4 +4,6 @@
 #[path = "../common/mod.rs"]
 mod common;
 mod heap;
+mod initial_load;
 mod job_states;
+mod state_service;
--- /dev/null
+++ b/tests/memory/state_service.rs
@@ -0,0 +1,119 @@
+//! Stand-in of the state service that serves lists in pages over a socket, and samples the heap at each request.
+
+use crate::heap::HeapGrowth;
+use ciborium::Value;
+use coppergw::wire::encode;
+use coppergw::wire::state::{Item, Page, WatchResponse};
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+
+/// Size of a page at which it ends, in bytes: half a mebibyte, as in the protocol.
+const PAGE_BYTES: usize = 512 * 1024;
+/// Revision of the service, which never changes.
+const REVISION: u64 = 1_000_000;
+
+/// The keys that the stand-in serves, all with the same value, in ascending order.
+pub(crate) struct Keys {
+    pub(crate) names: Vec<String>,
+    pub(crate) value: Value,
+}
+
+/// A stand-in of the state service.
+pub(crate) struct StateService {
+    listener: TcpListener,
+    keys: Vec<Keys>,
+}
+
+impl StateService {
+    /// Creates a service on a free port of the loopback interface.
+    pub(crate) fn bind(keys: Vec<Keys>) -> StateService {
+        StateService {
+            listener: TcpListener::bind("127.0.0.1:0").expect("a free port"),
+            keys,
+        }
+    }
+
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.listener.local_addr().expect("an address")
+    }
+
+    /// Answers the requests of one connection until it is closed. Returns the largest growth of the heap at the
+    /// arrival of a request, in bytes.
+    pub(crate) fn serve_connection(&self, growth: &HeapGrowth) -> usize {
+        let (stream, _) = self.listener.accept().expect("a connection");
+        let mut reader = BufReader::new(stream.try_clone().expect("a socket"));
+        let mut largest = 0;
+        while let Some(target) = read_target(&mut reader) {
+            largest = largest.max(growth.bytes());
+            write_response(&stream, &self.answer(&target));
+        }
+        largest
+    }
+
+    fn answer(&self, target: &str) -> Vec<u8> {
+        let (path, query) = target.split_once('?').unwrap_or((target, ""));
+        if path == "/watch" {
+            return encode(&WatchResponse {
+                revision: REVISION,
+                events: Vec::new(),
+            });
+        }
+        assert_eq!(path, "/keys");
+        let parameter = |name: &str| {
+            let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+            pairs.find(|(key, _)| *key == name).map(|(_, value)| value)
+        };
+        let most = parameter("most").and_then(|most| most.parse().ok());
+        self.page(
+            parameter("under").unwrap_or_default(),
+            parameter("after").unwrap_or_default(),
+            most.unwrap_or(1000),
+        )
+    }
+
+    fn page(&self, prefix: &str, after: &str, most: usize) -> Vec<u8> {
+        let mut page = Page {
+            items: Vec::new(),
+            more: false,
+            revision: REVISION,
+        };
+        let mut bytes = 0;
+        for Keys { names, value } in &self.keys {
+            let value_bytes = encode(value).len();
+            let listed = |name: &&String| name.starts_with(prefix) && name.as_str() > after;
+            for name in names.iter().filter(listed) {
+                bytes += value_bytes;
+                if page.items.len() == most || bytes > PAGE_BYTES {
+                    page.more = true;
+                    return encode(&page);
+                }
+                page.items.push(Item {
+                    key: name.clone(),
+                    value: value.clone(),
+                    version: 1,
+                });
+            }
+        }
+        encode(&page)
+    }
+}
+
+/// Reads the head of a request and returns its target; `None` if the connection was closed.
+fn read_target(reader: &mut BufReader<TcpStream>) -> Option<String> {
+    let mut request_line = String::new();
+    if reader.read_line(&mut request_line).unwrap_or(0) == 0 {
+        return None;
+    }
+    let mut header = String::new();
+    while reader.read_line(&mut header).expect("a header") > 2 {
+        header.clear();
+    }
+    let target = request_line.split(' ').nth(1).expect("a target");
+    Some(target.to_string())
+}
+
+fn write_response(mut stream: &TcpStream, body: &[u8]) {
+    let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len());
+    // A client that has what it needs closes the connection early.
+    let _ = stream.write_all(&[head.as_bytes(), body].concat());
+}
