Admission: jobs for which there is no memory are deferred with 429

Cause: every controller holds all unfinished jobs, and nothing limits their memory.

Change: ClusterState keeps an estimate of the memory of all jobs. PROTOCOL: 429 is retried. Repeated submissions of unfinished jobs are answered as before. All controllers hold the same jobs and decide alike. New for operators, since neither logs nor inspect told what memory went to: `coppergw inspect memory`, and a warning each 30 s. The counter behind it now serves refused connections as well.

The suite passes; tests/common compares the estimate with a count over all jobs after each step of the model tests.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 
 pub mod ids;
+pub mod refusals;
 pub mod settings;
 pub mod time;
 pub mod wire;
--- a/crates/base/src/wire/server.rs
+++ b/crates/base/src/wire/server.rs
@@ -2,7 +2,8 @@
 //! bodies and responses, and a limit of open connections. Its only state is the connection gauge.
 
 use super::MAX_BODY_BYTES;
-use crate::time::{Micros, SECOND, to_duration};
+use crate::refusals::RefusalCounter;
+use crate::time::{Clock, Micros, SECOND, to_duration};
 use async_executor::LocalExecutor;
 use async_h1::server::{Encoder, decode};
 use async_io::Timer;
@@ -12,7 +13,6 @@
 use std::cell::Cell;
 use std::future::Future;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
 
 /// HTTP request that is passed to a handler.
 pub struct Request {
@@ -78,8 +78,6 @@
 const WRITE_TIMEOUT: Micros = 5 * SECOND;
 /// Delay after a failed `accept`, which most likely lacked file descriptors.
 const ACCEPT_RETRY_DELAY: Micros = SECOND / 20;
-/// Minimum interval between log lines about refused connections.
-const REFUSAL_LOG_INTERVAL: Duration = Duration::from_secs(30);
 /// Initial capacity of the buffer for an encoded response: most responses fit, head and body together.
 const RESPONSE_BUFFER_BYTES: usize = 512;
 
@@ -87,8 +85,7 @@
 #[derive(Default)]
 pub struct ConnectionGauge {
     open: Cell<usize>,
-    refused: Cell<usize>,
-    refusal_logged_at: Cell<Option<Instant>>,
+    refusals: RefusalCounter,
 }
 
 impl ConnectionGauge {
@@ -101,13 +98,9 @@
         Some(ConnectionPermit(self.clone()))
     }
 
-    /// Counts a refused connection, and logs the number of refused ones at most once per interval.
-    fn record_refusal(&self, max_connections: usize) {
-        self.refused.set(self.refused.get() + 1);
-        let logged_at = self.refusal_logged_at.get();
-        if logged_at.is_none_or(|at| at.elapsed() >= REFUSAL_LOG_INTERVAL) {
-            self.refusal_logged_at.set(Some(Instant::now()));
-            let refused = self.refused.take();
+    /// Counts a refused connection, and logs the number of refused ones at an interval.
+    fn record_refusal(&self, max_connections: usize, now: Micros) {
+        if let Some(refused) = self.refusals.record(now) {
             tracing::warn!(
                 refused,
                 max_connections,
@@ -138,6 +131,7 @@
     F: Fn(Request) -> Fut + Clone + 'static,
     Fut: Future<Output = Response> + 'static,
 {
+    let clock = Clock::start();
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -150,7 +144,7 @@
         // The platform limits the number of sockets; some are reserved for outbound calls.
         let Some(permit) = gauge.open(max_connections) else {
             drop(stream);
-            gauge.record_refusal(max_connections);
+            gauge.record_refusal(max_connections, clock.now());
             continue;
         };
         let handle = handle.clone();
--- a/src/cli/arguments.rs
+++ b/src/cli/arguments.rs
@@ -106,6 +106,8 @@
     Fairness,
     /// Versions of the controllers and the layout of stored values.
     Layout,
+    /// Memory of unfinished jobs and the limits up to which jobs are accepted.
+    Memory,
     /// Unfinished jobs that depend on other jobs.
     Pipelines,
     /// Pending jobs by reason, or one job.
@@ -124,6 +126,7 @@
             InspectTopic::Machines => "/inspect/machines",
             InspectTopic::Fairness => "/inspect/fairness",
             InspectTopic::Layout => "/inspect/layout",
+            InspectTopic::Memory => "/inspect/memory",
             InspectTopic::Pipelines => "/inspect/pipelines",
             InspectTopic::Jobs => "/inspect/jobs",
             InspectTopic::ServiceLevels => "/inspect/served",
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -6,9 +6,11 @@
 use crate::autoscaler::reconciler::CloudRequestState;
 use crate::fairness::service_levels::ServiceLevelMonitor;
 use crate::jobs::commit::TransactionLimits;
+use crate::jobs::memory_budget::JobMemoryBudget;
 use crate::membership::Membership;
 use crate::policy::Policy;
 use crate::reconciliation::{REQUEST_SHARE, Reconciler, WRITE_SHARE};
+use crate::refusals::RefusalCounter;
 use crate::settings::{Settings, StateLimits};
 use crate::store::client::StoreClient;
 use crate::store::cluster_state::ClusterState;
@@ -51,6 +53,10 @@
     pub reconciler: Reconciler,
     /// Job classes and teams that miss their objectives, tracked while this controller is the leader.
     pub service_level_monitor: RefCell<ServiceLevelMonitor>,
+    /// Memory that unfinished jobs may use; `None` if the settings contain no limit.
+    pub job_memory_budget: Option<JobMemoryBudget>,
+    /// Submissions that were deferred because there was no memory for the job.
+    pub memory_refusals: RefusalCounter,
     milestones: RefCell<Vec<StartupMilestone>>,
 }
 
@@ -115,6 +121,8 @@
             settings.state_limits.writes_per_s * WRITE_SHARE / controller_count,
         );
         Rc::new(Controller {
+            job_memory_budget: JobMemoryBudget::new(settings.memory_mb),
+            memory_refusals: RefusalCounter::default(),
             settings,
             policy,
             clock,
--- a/src/jobs/api/inspection.rs
+++ b/src/jobs/api/inspection.rs
@@ -10,8 +10,11 @@
 use crate::store::cluster_state::{ClusterState, Job};
 use crate::time::wall_clock_now;
 use crate::wire::server::Response;
+use crate::wire::user::Priority;
 use crate::wire::worker::TaskStatus;
 use foldhash::{HashMap, HashSet};
+use serde::Serialize;
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
 /// Largest number of jobs with dependencies in one answer, which is limited to 64 KiB.
@@ -20,6 +23,24 @@
 /// Path of the overview of pending jobs. The path of a single job is `/inspect/jobs/<id>`.
 const JOBS_PATH: &str = "/inspect/jobs";
 
+/// Largest number of jobs that are listed by their memory.
+const MAX_SHOWN_JOBS_BY_MEMORY: usize = 10;
+
+/// Answer to `inspect memory`. All sizes are estimates in bytes.
+#[derive(Serialize)]
+struct MemoryReport<'a> {
+    unfinished_jobs: usize,
+    used_bytes: usize,
+    /// Size up to which jobs of any priority are accepted; `None` if the settings contain no limit.
+    max_bytes: Option<usize>,
+    /// Size up to which jobs of normal and low priority are accepted.
+    max_bytes_normal_priority: Option<usize>,
+    /// Number of submissions that this controller deferred because of these limits.
+    refused_submissions: u64,
+    /// Largest jobs with their sizes, largest first.
+    largest_jobs: Vec<(&'a str, usize)>,
+}
+
 impl Controller {
     /// Handles an operator's request.
     pub fn handle_inspection_request(&self, path: &str) -> Response {
@@ -35,6 +56,7 @@
             "/inspect/parts" => Response::with_body(200, &view.shards),
             "/inspect/machines" => inspect_machines(&view),
             "/inspect/layout" => Response::with_body(200, &(&view.versions, &view.layout)),
+            "/inspect/memory" => self.inspect_memory(&view),
             "/inspect/pipelines" => inspect_pipelines(&view),
             "/inspect/served" => {
                 let rows = service_level_rows(&view, &self.settings.objectives, wall_clock_now());
@@ -58,6 +80,30 @@
         }
     }
 
+    /// Returns the memory of unfinished jobs, the budget for it, and the jobs that take most of it.
+    fn inspect_memory(&self, view: &ClusterState) -> Response {
+        let mut largest: Vec<(&str, usize)> = view
+            .jobs
+            .iter()
+            .map(|(id, job)| (&**id, job.estimated_bytes()))
+            .collect();
+        largest.sort_by_key(|(_, bytes)| Reverse(*bytes));
+        largest.truncate(MAX_SHOWN_JOBS_BY_MEMORY);
+        let budget = self.job_memory_budget;
+        let max_bytes = |priority| budget.map(|budget| budget.max_bytes(priority));
+        Response::with_body(
+            200,
+            &MemoryReport {
+                unfinished_jobs: view.jobs.len(),
+                used_bytes: view.indexes().job_bytes,
+                max_bytes: max_bytes(Priority::Production),
+                max_bytes_normal_priority: max_bytes(Priority::Normal),
+                refused_submissions: self.memory_refusals.total(),
+                largest_jobs: largest,
+            },
+        )
+    }
+
     /// Returns a job's state and the reason why it is pending.
     fn inspect_job(&self, view: &ClusterState, id: &JobId) -> Response {
         let Some(job) = view.jobs.get(id) else {
--- a/src/jobs/api/submission.rs
+++ b/src/jobs/api/submission.rs
@@ -2,6 +2,7 @@
 //! even if a repeated submission has a different content; only a job that was never accepted is rejected.
 
 use super::super::commit::accept_submission;
+use super::super::memory_budget::MemoryExhausted;
 use super::super::model::{AdmissionError, JobId, JobIdList, JobSpec, validate};
 use super::super::pipelines::{DependencyCheck, check_dependencies};
 use super::{MAX_TRANSACTIONS_PER_REQUEST, RETRY_AFTER_S, StateUnavailable, service_unavailable};
@@ -18,6 +19,10 @@
 /// answered with status 429.
 const MAX_WRITE_DELAY: Micros = SECOND / 2;
 
+/// `Retry-After` for a job for which there is no memory, in seconds: until other jobs end, which takes longer than a
+/// write.
+const MEMORY_RETRY_AFTER_S: u64 = 5;
+
 /// Largest number of final states that one submission may read for its dependencies. If more are missing,
 /// the submission is accepted on a later retry, as the states that were read stay in the watch cache.
 const MAX_DEPENDENCY_READS: usize = 40;
@@ -38,6 +43,9 @@
     /// limit.
     #[error("too many writes are queued")]
     Overloaded,
+    /// 429: the job would not fit into memory with the unfinished ones.
+    #[error(transparent)]
+    MemoryExhausted(#[from] MemoryExhausted),
     /// 503: it is unknown whether the job can be accepted, or its write was not answered.
     #[error("the submission cannot be processed at present")]
     Unavailable,
@@ -108,6 +116,9 @@
                 return Response::error(400, &error.to_string());
             }
             SubmissionError::Overloaded => return Response::retry_later(429, RETRY_AFTER_S),
+            SubmissionError::MemoryExhausted(_) => {
+                return Response::retry_later(429, MEMORY_RETRY_AFTER_S);
+            }
             SubmissionError::Unavailable => return service_unavailable(),
         };
         tracing::debug!(id, status, %error, "submission rejected");
@@ -145,9 +156,31 @@
             tracing::debug!(write_delay_us, "submission deferred, write queue too long");
             return Err(SubmissionError::Overloaded);
         }
+        self.check_memory(&spec)?;
         self.write_job(submission, &spec).await
     }
 
+    /// Checks that there is memory for a job. Refusals are counted, and logged at an interval.
+    fn check_memory(&self, spec: &JobSpec) -> Result<(), MemoryExhausted> {
+        let Some(budget) = self.job_memory_budget else {
+            return Ok(());
+        };
+        let view = self.watch_cache.view();
+        let checked = budget.check(&view, spec);
+        if let Err(shortage) = &checked
+            && let Some(refused) = self.memory_refusals.record(self.clock.now())
+        {
+            tracing::warn!(
+                refused,
+                unfinished_jobs = view.jobs.len(),
+                used_bytes = shortage.used_bytes,
+                max_bytes = shortage.max_bytes,
+                "submissions deferred, unfinished jobs use the memory reserved for them"
+            );
+        }
+        checked
+    }
+
     /// Validates a submission against the settings and the machine types.
     fn admit(&self, submission: &Submission) -> Result<JobSpec, SubmissionError> {
         if !self.watch_cache.loaded() {
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -2,5 +2,6 @@
 
 pub mod api;
 pub mod commit;
+pub mod memory_budget;
 pub mod model;
 pub mod pipelines;
--- a/src/jobs/model/task_block.rs
+++ b/src/jobs/model/task_block.rs
@@ -38,6 +38,13 @@
     Done,
 }
 
+impl Default for TaskState {
+    /// State of a task before its first attempt.
+    fn default() -> TaskState {
+        TaskState::Waiting(0)
+    }
+}
+
 impl TaskState {
     /// Returns the number of the last attempt; 0 if the task is done.
     pub fn last_attempt(&self) -> u32 {
@@ -244,7 +251,7 @@
     let len = task_count
         .saturating_sub(block * TASKS_PER_BLOCK)
         .min(TASKS_PER_BLOCK);
-    TaskBlock::uniform(len, TaskState::Waiting(0))
+    TaskBlock::uniform(len, TaskState::default())
 }
 
 /// Returns the stored form of a grace period: 0 for none, otherwise milliseconds plus 1.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,7 +1,7 @@
 //! coppergw: a cluster scheduler. `controller` starts all components; every other module implements one of them.
 #![forbid(unsafe_code)]
 
-pub use coppergw_base::{ids, settings, time, wire};
+pub use coppergw_base::{ids, refusals, settings, time, wire};
 
 pub mod autoscaler;
 pub mod cli;
--- a/src/store/cluster_state/indexes.rs
+++ b/src/store/cluster_state/indexes.rs
@@ -21,6 +21,8 @@
     pub teams: BTreeMap<String, Resources>,
     /// Number of jobs for each distinct resource request (CPUs, GPUs, memory) of tasks with GPUs.
     pub gpu_task_sizes: BTreeMap<[i64; 3], u32>,
+    /// Estimated memory of all jobs, in bytes.
+    pub job_bytes: usize,
     /// Machines that accept no new tasks: draining or closing.
     pub not_accepting: BTreeSet<MachineId>,
     /// Machines ordered by their free CPUs, in thousandths.
@@ -45,6 +47,17 @@
         }
     }
 
+    /// Replaces the memory with which a job is included.
+    fn change_job_bytes(&mut self, included: usize, bytes: usize) {
+        self.job_bytes += bytes;
+        self.job_bytes -= included;
+    }
+
+    /// Removes the memory of a job that is no longer known.
+    pub(super) fn remove_job_bytes(&mut self, job: &Job) {
+        self.change_job_bytes(job.indexed_bytes, 0);
+    }
+
     fn add_team_usage(&mut self, team: &String, change: &Resources) {
         if !self.teams.contains_key(team) {
             self.teams.insert(team.clone(), Resources::default());
@@ -83,6 +96,11 @@
     }
 
     pub(super) fn index_job(&mut self, id: &JobId) {
+        if let Some(job) = self.jobs.get_mut(id) {
+            let bytes = job.estimated_bytes();
+            self.indexes.change_job_bytes(job.indexed_bytes, bytes);
+            job.indexed_bytes = bytes;
+        }
         let job = self.jobs.get(id);
         let waiting = job.is_some_and(|job| job.waiting > 0);
         let service = job.is_some_and(|job| job.spec.kind == JobKind::Service);
--- a/src/store/cluster_state/job.rs
+++ b/src/store/cluster_state/job.rs
@@ -45,6 +45,10 @@
     pub deadline_after_submission: Micros,
     /// Whether it has dependencies or dependents.
     pub in_pipeline: bool,
+    /// Memory that the blocks have allocated, in bytes.
+    pub(super) task_state_bytes: usize,
+    /// Memory with which this job is included in [`Indexes::job_bytes`](super::Indexes), in bytes.
+    pub(super) indexed_bytes: usize,
 }
 
 /// Returns the deadline in a job's own specification, as wall-clock time.
@@ -57,10 +61,13 @@
     pub(super) fn new(spec: Rc<JobSpec>, has_dependents: bool) -> Job {
         let tasks = spec.task_count;
         let block_count = block_count(tasks);
+        let blocks: Vec<TaskBlock> = (0..block_count)
+            .map(|block| unplaced_block(tasks, block))
+            .collect();
         Job {
-            blocks: (0..block_count)
-                .map(|block| unplaced_block(tasks, block))
-                .collect(),
+            task_state_bytes: blocks.iter().map(TaskBlock::allocated_bytes).sum(),
+            indexed_bytes: 0,
+            blocks,
             waiting: tasks,
             placed: 0,
             done: 0,
--- a/src/store/cluster_state/job_records.rs
+++ b/src/store/cluster_state/job_records.rs
@@ -64,6 +64,7 @@
             return;
         };
         self.index_job(id);
+        self.indexes.remove_job_bytes(&job);
         self.indexes.remove_gpu_task_size(&job.spec.resources);
         self.unlink_dependencies(id, &job.dependencies);
         self.refresh_urgency(job.dependencies);
--- a/src/store/cluster_state/mod.rs
+++ b/src/store/cluster_state/mod.rs
@@ -16,6 +16,7 @@
 mod finished_jobs;
 mod indexes;
 mod job;
+mod job_memory;
 mod job_records;
 mod key_versions;
 mod machines;
@@ -24,6 +25,7 @@
 
 pub use indexes::Indexes;
 pub use job::Job;
+pub use job_memory::estimated_bytes_of_unplaced_job;
 
 use self::cancellations::CancellationLog;
 use self::finished_jobs::{FinishedJobCache, RecentJobEnds};
--- a/src/store/cluster_state/task_blocks.rs
+++ b/src/store/cluster_state/task_blocks.rs
@@ -191,6 +191,8 @@
             current,
             tasks.unwrap_or_else(|| unplaced_block(task_count, block)),
         );
+        job.task_state_bytes += current.allocated_bytes();
+        job.task_state_bytes -= old.allocated_bytes();
         let placed_before = job.placed;
         let mut locations = TaskLocations {
             tasks_by_machine: &mut self.tasks_by_machine,
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -44,12 +44,13 @@
 /// Each topic with its names and its path, which other versions of the program request.
 #[test]
 fn topics_have_current_names_and_aliases() {
-    let table: [(InspectTopic, &[&str], &str); 8] = [
+    let table: [(InspectTopic, &[&str], &str); 9] = [
         (InspectTopic::Members, &["members"], "/inspect/members"),
         (InspectTopic::Shards, &["shards", "parts"], "/inspect/parts"),
         (InspectTopic::Machines, &["machines"], "/inspect/machines"),
         (InspectTopic::Fairness, &["fairness"], "/inspect/fairness"),
         (InspectTopic::Layout, &["layout"], "/inspect/layout"),
+        (InspectTopic::Memory, &["memory"], "/inspect/memory"),
         (
             InspectTopic::Pipelines,
             &["pipelines"],
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -195,6 +195,7 @@
         if (job.cancelled() && job.placed == 0) || job.done == job.spec.task_count {
             indexes.finished.insert(id.clone());
         }
+        indexes.job_bytes += job.estimated_bytes();
         let resources = &job.spec.resources;
         if resources.gpus > 0 {
             *indexes
--- a/tests/memory/main.rs
+++ b/tests/memory/main.rs
@@ -6,4 +6,6 @@
 mod heap;
 mod initial_load;
 mod job_states;
+mod memory_budget;
 mod state_service;
+mod submissions;
--- a/tests/memory/state_service.rs
+++ b/tests/memory/state_service.rs
@@ -1,15 +1,17 @@
-//! Stand-in of the state service that serves lists in pages over a socket, and samples the heap at each request.
+//! Stand-in of the state service over sockets: it serves lists in pages and takes transactions, without keeping what
+//! they write. It can sample the heap at each request.
 
 use crate::heap::HeapGrowth;
 use ciborium::Value;
 use coppergw::wire::encode;
-use coppergw::wire::state::{Item, Page, WatchResponse};
-use std::io::{BufRead, BufReader, Write};
+use coppergw::wire::state::{Item, Page, Revision, TRANSACTION_PATH, WatchResponse};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
 
 /// Size of a page at which it ends, in bytes: half a mebibyte, as in the protocol.
 const PAGE_BYTES: usize = 512 * 1024;
-/// Revision of the service, which never changes.
+/// Revision that the service reports.
 const REVISION: u64 = 1_000_000;
 
 /// The keys that the stand-in serves, all with the same value, in ascending order.
@@ -41,13 +43,29 @@
     /// arrival of a request, in bytes.
     pub(crate) fn serve_connection(&self, growth: &HeapGrowth) -> usize {
         let (stream, _) = self.listener.accept().expect("a connection");
-        let mut reader = BufReader::new(stream.try_clone().expect("a socket"));
         let mut largest = 0;
+        self.answer_requests(&stream, || largest = largest.max(growth.bytes()));
+        largest
+    }
+
+    /// Answers the requests of all connections until the test process ends.
+    pub(crate) fn serve_in_background(self) {
+        let service = Arc::new(self);
+        std::thread::spawn(move || {
+            for stream in service.listener.incoming() {
+                let service = service.clone();
+                let stream = stream.expect("a connection");
+                std::thread::spawn(move || service.answer_requests(&stream, || {}));
+            }
+        });
+    }
+
+    fn answer_requests(&self, stream: &TcpStream, mut on_request: impl FnMut()) {
+        let mut reader = BufReader::new(stream.try_clone().expect("a socket"));
         while let Some(target) = read_target(&mut reader) {
-            largest = largest.max(growth.bytes());
-            write_response(&stream, &self.answer(&target));
+            on_request();
+            write_response(stream, &self.answer(&target));
         }
-        largest
     }
 
     fn answer(&self, target: &str) -> Vec<u8> {
@@ -58,6 +76,12 @@
                 events: Vec::new(),
             });
         }
+        if path == TRANSACTION_PATH {
+            return encode(&Revision {
+                revision: REVISION + 1,
+                failed: Vec::new(),
+            });
+        }
         assert_eq!(path, "/keys");
         let parameter = |name: &str| {
             let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
@@ -98,16 +122,21 @@
     }
 }
 
-/// Reads the head of a request and returns its target; `None` if the connection was closed.
+/// Reads a request and returns its target; `None` if the connection was closed.
 fn read_target(reader: &mut BufReader<TcpStream>) -> Option<String> {
     let mut request_line = String::new();
     if reader.read_line(&mut request_line).unwrap_or(0) == 0 {
         return None;
     }
+    let mut body_bytes = 0;
     let mut header = String::new();
     while reader.read_line(&mut header).expect("a header") > 2 {
+        if let Some(length) = header.to_lowercase().strip_prefix("content-length:") {
+            body_bytes = length.trim().parse().expect("a length");
+        }
         header.clear();
     }
+    reader.read_exact(&mut vec![0; body_bytes]).expect("a body");
     let target = request_line.split(' ').nth(1).expect("a target");
     Some(target.to_string())
 }
