Tests: one wait for a loaded state in tests/memory; the unit of a megabyte said right

Cause: the wait stood twice, and a comment called the binary megabyte the unit of the settings, while the memory budget counts decimal ones. Change: until_loaded serves both tests; the comment. No bound or assertion changes, no product code.

--- a/tests/memory/heap.rs
+++ b/tests/memory/heap.rs
@@ -7,7 +7,7 @@
 #[global_allocator]
 static ALLOCATOR: Cap<System> = Cap::new(System, usize::MAX);
 
-/// Bytes in a megabyte, the unit of the settings.
+/// Bytes in a megabyte as process status counts it. The memory budget takes the smaller decimal one.
 pub(crate) const MEGABYTE: usize = 1 << 20;
 
 /// Memory of the controllers of the smallest deployments, in megabytes.
--- a/tests/memory/initial_load.rs
+++ b/tests/memory/initial_load.rs
@@ -45,18 +45,20 @@
     ]
 }
 
+/// Waits until a cache has loaded the state; its watch loop has to run meanwhile.
+pub(crate) async fn until_loaded(cache: &WatchCache) {
+    while !cache.loaded() {
+        Timer::after(POLL_INTERVAL).await;
+    }
+}
+
 /// Loads the state and returns the number of waiting tasks.
 fn load(address: SocketAddr) -> u32 {
     let clock = Clock::start();
     let http = Rc::new(Client::new(1));
     let client = StoreClient::new(http, address, clock, UNLIMITED_RATE, UNLIMITED_RATE);
     let cache = WatchCache::new(client, clock);
-    let loaded = async {
-        while !cache.loaded() {
-            Timer::after(POLL_INTERVAL).await;
-        }
-    };
-    async_io::block_on(cache.watch_loop().or(loaded));
+    async_io::block_on(cache.watch_loop().or(until_loaded(&cache)));
     let view = cache.view();
     view.jobs.values().map(|job| job.waiting).sum()
 }
--- a/tests/memory/submissions.rs
+++ b/tests/memory/submissions.rs
@@ -2,9 +2,9 @@
 
 use crate::common::{self, SETTINGS, spec};
 use crate::heap::HeapGrowth;
+use crate::initial_load::until_loaded;
 use crate::state_service::{Keys, StateService};
 use async_executor::LocalExecutor;
-use async_io::Timer;
 use ciborium::Value;
 use coppergw::controller::Controller;
 use coppergw::jobs::model::{JobRecord, TaskBlock};
@@ -16,7 +16,6 @@
 use coppergw::wire::{decode, encode, to_value};
 use http_types::Method;
 use std::rc::Rc;
-use std::time::Duration;
 
 /// Number of unfinished jobs: more than fit into a megabyte.
 const UNFINISHED_JOBS: u32 = 500;
@@ -24,8 +23,6 @@
 const ACCEPTED_JOB: &str = "req-000007";
 /// Id of a job that was not submitted before.
 const NEW_JOB: &str = "req-900000";
-/// Interval at which the end of the load is looked for.
-const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
 fn stored_keys() -> Vec<Keys> {
     let record = JobRecord(spec(JobKind::Array, 1), TaskBlock::default());
@@ -67,9 +64,7 @@
     executor
         .spawn(async move { reading.watch_cache.linearizable_read_loop().await })
         .detach();
-    while !controller.watch_cache.loaded() {
-        Timer::after(POLL_INTERVAL).await;
-    }
+    until_loaded(&controller.watch_cache).await;
 }
 
 async fn submit(controller: &Controller, id: &str) -> Response {
