Tests: the stand-in of the state service and the store with limits move to tests/common

Cause: tests of values that are small from the start need both, and they stood in the tests of memory and of pipelines. Change: moved; the stand-in calls a closure at each request in place of sampling the heap itself, and loading a controller from it moves along. Result: the same tests, with the same checks.

--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -2,6 +2,9 @@
 //! consistency check of the indexes of the cluster state.
 #![allow(dead_code)]
 
+pub(crate) mod limited_store;
+pub(crate) mod state_service;
+
 use coppergw::autoscaler::model::{MachineRecord, MachineState};
 use coppergw::jobs::commit::TransactionLimits;
 use coppergw::jobs::model::{JobSpec, MachineUsage, Resources};
--- a/tests/memory/state_service.rs
+++ b/tests/common/state_service.rs
@@ -1,19 +1,46 @@
 //! Stand-in of the state service over sockets: it serves lists in pages and takes transactions, without keeping what
-//! they write. It can sample the heap at each request.
+//! they write.
 
-use crate::heap::HeapGrowth;
+use async_io::Timer;
 use ciborium::Value;
+use coppergw::controller::Controller;
+use coppergw::store::watch_cache::WatchCache;
 use coppergw::wire::encode;
 use coppergw::wire::state::{Item, Page, Revision, TRANSACTION_PATH, WatchResponse};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 /// Size of a page at which it ends, in bytes: half a mebibyte, as in the protocol.
 const PAGE_BYTES: usize = 512 * 1024;
 /// Revision that the service reports.
 const REVISION: u64 = 1_000_000;
 
+/// Interval at which the end of the load is looked for.
+const POLL_INTERVAL: Duration = Duration::from_millis(5);
+
+/// Waits until a cache has loaded the state; its watch loop has to run meanwhile.
+pub(crate) async fn until_loaded(cache: &WatchCache) {
+    while !cache.loaded() {
+        Timer::after(POLL_INTERVAL).await;
+    }
+}
+
+/// Loads the state of a controller, and keeps it current until the executor is dropped.
+pub(crate) async fn load(controller: &Rc<Controller>) {
+    let (watching, reading) = (controller.clone(), controller.clone());
+    let executor = &controller.executor;
+    executor
+        .spawn(async move { watching.watch_cache.watch_loop().await })
+        .detach();
+    executor
+        .spawn(async move { reading.watch_cache.linearizable_read_loop().await })
+        .detach();
+    until_loaded(&controller.watch_cache).await;
+}
+
 /// The keys that the stand-in serves, all with the same value, in ascending order.
 pub(crate) struct Keys {
     pub(crate) names: Vec<String>,
@@ -39,13 +66,10 @@
         self.listener.local_addr().expect("an address")
     }
 
-    /// Answers the requests of one connection until it is closed. Returns the largest growth of the heap at the
-    /// arrival of a request, in bytes.
-    pub(crate) fn serve_connection(&self, growth: &HeapGrowth) -> usize {
+    /// Answers the requests of one connection until it is closed. Calls `on_request` at the arrival of each.
+    pub(crate) fn serve_connection(&self, on_request: impl FnMut()) {
         let (stream, _) = self.listener.accept().expect("a connection");
-        let mut largest = 0;
-        self.answer_requests(&stream, || largest = largest.max(growth.bytes()));
-        largest
+        self.answer_requests(&stream, on_request);
     }
 
     /// Answers the requests of all connections until the test process ends.
--- a/tests/memory/initial_load.rs
+++ b/tests/memory/initial_load.rs
@@ -1,10 +1,9 @@
 //! Memory while a controller loads the state of the state service.
 
 use crate::common::spec;
+use crate::common::state_service::{Keys, StateService, until_loaded};
 use crate::heap::{CONTROLLER_MEMORY_MB, HeapGrowth, MEGABYTE};
 use crate::job_states::plain_done_block;
-use crate::state_service::{Keys, StateService};
-use async_io::Timer;
 use coppergw::jobs::model::{JobRecord, MAX_TASKS, TASKS_PER_BLOCK, TaskBlock, block_count};
 use coppergw::store::client::StoreClient;
 use coppergw::store::keys;
@@ -16,14 +15,11 @@
 use futures_lite::FutureExt;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 
 /// Number of arrays of the largest size: as many as a class submits when it does not submit more than usual.
 const LARGEST_ARRAYS: usize = 5;
 /// Rate limit of requests and writes that delays nothing, per second.
 const UNLIMITED_RATE: f64 = 1e6;
-/// Interval at which the end of the load is looked for.
-const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
 /// Records of the arrays, and all blocks but the first of each, whose tasks are done.
 fn nearly_done_arrays() -> Vec<Keys> {
@@ -45,13 +41,6 @@
     ]
 }
 
-/// Waits until a cache has loaded the state; its watch loop has to run meanwhile.
-pub(crate) async fn until_loaded(cache: &WatchCache) {
-    while !cache.loaded() {
-        Timer::after(POLL_INTERVAL).await;
-    }
-}
-
 /// Loads the state and returns the number of waiting tasks.
 fn load(address: SocketAddr) -> u32 {
     let clock = Clock::start();
@@ -72,7 +61,8 @@
     let growth = HeapGrowth::start();
     let (waiting, largest) = std::thread::scope(|scope| {
         let controller = scope.spawn(|| load(address));
-        let largest = service.serve_connection(&growth);
+        let mut largest = 0;
+        service.serve_connection(|| largest = largest.max(growth.bytes()));
         (controller.join().expect("a loaded state"), largest)
     });
     assert_eq!(waiting, LARGEST_ARRAYS as u32 * TASKS_PER_BLOCK);
--- a/tests/memory/main.rs
+++ b/tests/memory/main.rs
@@ -7,5 +7,4 @@
 mod initial_load;
 mod job_states;
 mod memory_budget;
-mod state_service;
 mod submissions;
--- a/tests/memory/submissions.rs
+++ b/tests/memory/submissions.rs
@@ -1,9 +1,8 @@
 //! Answers to submissions when the unfinished jobs use the memory reserved for them.
 
+use crate::common::state_service::{Keys, StateService, load};
 use crate::common::{self, SETTINGS, spec};
 use crate::heap::HeapGrowth;
-use crate::initial_load::until_loaded;
-use crate::state_service::{Keys, StateService};
 use async_executor::LocalExecutor;
 use ciborium::Value;
 use coppergw::controller::Controller;
@@ -54,19 +53,6 @@
     Controller::new(settings, Policy::default(), executor.clone())
 }
 
-/// Loads the state of a controller, and keeps it current until the executor is dropped.
-async fn load(controller: &Rc<Controller>) {
-    let (watching, reading) = (controller.clone(), controller.clone());
-    let executor = &controller.executor;
-    executor
-        .spawn(async move { watching.watch_cache.watch_loop().await })
-        .detach();
-    executor
-        .spawn(async move { reading.watch_cache.linearizable_read_loop().await })
-        .detach();
-    until_loaded(&controller.watch_cache).await;
-}
-
 async fn submit(controller: &Controller, id: &str) -> Response {
     let submission = Submission {
         id: id.into(),
--- a/tests/pipelines.rs
+++ b/tests/pipelines.rs
@@ -5,6 +5,7 @@
 
 mod common;
 
+use common::limited_store::LimitedStore;
 use coppergw::autoscaler::model::{MachineRecord, MachineState, ScaleOutRequest};
 use coppergw::autoscaler::reconciler::close_scale_out_request;
 use coppergw::fairness::rounds::truncate_to_size;
@@ -79,49 +80,7 @@
     }
 }
 
-/// An in-memory state service with limits on values and transactions.
-#[derive(Default)]
-struct LimitedStore {
-    inner: common::Store,
-    limits: (usize, usize),
-}
-
-impl std::ops::Deref for LimitedStore {
-    type Target = common::Store;
-    fn deref(&self) -> &common::Store {
-        &self.inner
-    }
-}
-
-impl std::ops::DerefMut for LimitedStore {
-    fn deref_mut(&mut self) -> &mut common::Store {
-        &mut self.inner
-    }
-}
-
 impl LimitedStore {
-    /// Asserts the limits that the state service enforces with a 400 response. Exceeding one is always a
-    /// fault of the controller.
-    fn check_limits(&self, transaction: &Transaction) {
-        let (max_value_bytes, max_mutations) = self.limits;
-        assert!(
-            transaction.mutations.len() <= max_mutations,
-            "{} mutations",
-            transaction.mutations.len()
-        );
-        assert!(
-            transaction.preconditions.len() <= max_mutations * 4,
-            "{} preconditions",
-            transaction.preconditions.len()
-        );
-        assert!(
-            transaction.largest_value_bytes() <= max_value_bytes,
-            "a value of {} bytes",
-            transaction.largest_value_bytes()
-        );
-        assert!(json_size(transaction) <= 64 * 1024);
-    }
-
     fn job(&self, id: &str) -> Option<JobSpec> {
         let (value, _) = self.keys.get(&keys::job(id))?;
         Some(from_value::<coppergw::jobs::model::StoredJobRecord>(value)?.0)
@@ -175,10 +134,7 @@
 impl TestCluster {
     fn new() -> TestCluster {
         let mut cluster = TestCluster {
-            store: LimitedStore {
-                limits: INITIAL_LIMITS,
-                ..LimitedStore::default()
-            },
+            store: LimitedStore::new(INITIAL_LIMITS),
             controllers: Vec::new(),
             dependencies: HashMap::new(),
             submitted: Vec::new(),
