Jobs, layout: task blocks are packed and split whatever limits are announced, from layout 3 on

Cause: blocks were written packed, and split where too large, only if `state.next` announced lower limits. Where the limits are low from the start nothing is announced, and a block was written with one entry for each of its 256 tasks; the refused write was decided again in each pass.

Change: layout 3 stands for versions that write every block packed and split. It is agreed on as layout 2 was, and raises it. Versions of layout 2 read these forms but write blocks whole and plain where nothing is announced, conditional on the block's key alone: beside parts that change one by one such a write takes back a placement. So the form changes only once none of them is left, and a block that is stored in parts is never written whole again. Acceptance counts the plain form whatever is written, so that no accepted job becomes too large by the few bytes of the packed form.

tests/pipelines.rs: `all_support_layout` returned a bool for the newest layout; it is now `layout_supported_by_all`, which returns the newest layout that all support. Its test checks the same three cases, for layout 2 and for 3.

--- a/crates/base/src/wire/state.rs
+++ b/crates/base/src/wire/state.rs
@@ -63,7 +63,7 @@
 }
 
 /// Write or deletion of one key.
-#[derive(Debug, Deserialize, Serialize, Clone)]
+#[derive(Debug, Deserialize, Serialize, Clone, PartialEq)]
 #[serde(untagged)]
 pub enum Mutation {
     /// Writes a key.
@@ -96,7 +96,7 @@
 }
 
 /// Compare-and-swap transaction.
-#[derive(Debug, Deserialize, Serialize, Clone, Default)]
+#[derive(Debug, Deserialize, Serialize, Clone, Default, PartialEq)]
 pub struct Transaction {
     /// Preconditions; the transaction changes nothing unless all of them hold.
     #[serde(rename = "guards")]
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -303,14 +303,16 @@
 
     /// Returns the limits of written transactions.
     pub fn transaction_limits(&self) -> TransactionLimits {
-        let write_newer_layout = self.watch_cache.view().layout.is_some();
+        let layout = self.watch_cache.view().layout;
+        let lower_limits_announced = self.settings.next_state_limits.is_some();
         TransactionLimits {
             max_mutations: self.state_limits().max_mutations,
             max_merged_mutations: (self.watch_cache.client().write_budget().1 / 2.0) as usize,
             max_bytes: MAX_TRANSACTION_BYTES,
             max_value_bytes: self.max_value_bytes(),
-            write_newer_layout,
-            write_packed_blocks: write_newer_layout && self.settings.next_state_limits.is_some(),
+            write_newer_layout: layout.is_some(),
+            write_packed_blocks: layout
+                .is_some_and(|layout| layout.packs_blocks(lower_limits_announced)),
             wall_clock: wall_clock_now(),
         }
     }
--- a/src/jobs/commit/job_transaction.rs
+++ b/src/jobs/commit/job_transaction.rs
@@ -43,11 +43,12 @@
     has_team_limit: TeamLimitCheck<'_>,
     limits: TransactionLimits,
 ) -> Option<TransactionDraft> {
+    let job = view.jobs.get(id)?;
     let mut builder = JobTransactionBuilder {
         view,
         id,
-        job: view.jobs.get(id)?,
-        limits,
+        job,
+        limits: limits.for_job(job),
         draft: TransactionDraft::default(),
         changed_blocks: BTreeMap::new(),
         changed_keys: BTreeSet::new(),
--- a/src/jobs/commit/limits.rs
+++ b/src/jobs/commit/limits.rs
@@ -1,5 +1,6 @@
 //! Limits of one transaction, and the stored forms that it may write.
 
+use crate::store::cluster_state::Job;
 use crate::time::Micros;
 
 /// Largest number of preconditions of a transaction, as a multiple of its largest number of mutations. A
@@ -30,6 +31,15 @@
 }
 
 impl TransactionLimits {
+    /// Returns the limits for writes of a job's blocks. Blocks that were split once are never written whole
+    /// again: a write that is conditional on the block's key alone would replace parts that changed meanwhile.
+    pub(super) fn for_job(self, job: &Job) -> TransactionLimits {
+        TransactionLimits {
+            write_packed_blocks: self.write_packed_blocks || job.has_split_blocks(),
+            ..self
+        }
+    }
+
     /// Returns the largest number of preconditions of a transaction.
     pub(super) fn max_preconditions(&self) -> usize {
         self.max_mutations * PRECONDITIONS_PER_MUTATION
--- a/src/jobs/commit/submission.rs
+++ b/src/jobs/commit/submission.rs
@@ -65,14 +65,17 @@
 }
 
 /// Moves the dependencies out of a specification that is too large for a value with them. `None` if it is
-/// too large without them, too.
+/// too large without them, too. The stored form of the block does not matter, so that a submission that is
+/// repeated after the job has ended fits whenever the first one did; the packed form is longer by a few bytes
+/// of the reserve that `max_value_bytes` leaves.
 fn move_long_dependencies(
     id: &str,
     spec: &mut JobSpec,
     limits: TransactionLimits,
 ) -> Option<Vec<DependencyKey>> {
     let fits = |spec: &JobSpec| {
-        json_size(&accepted_record(spec.clone(), limits)) <= limits.max_value_bytes
+        let smallest_record = (spec, TaskBlock::default());
+        json_size(&smallest_record) <= limits.max_value_bytes
     };
     if fits(spec) {
         return Some(Vec::new());
--- a/src/membership/layout_agreement.rs
+++ b/src/membership/layout_agreement.rs
@@ -5,45 +5,105 @@
 use super::records::{LayoutVersion, Member};
 use crate::controller::Controller;
 use crate::store::client::TransactionOutcome;
+use crate::store::cluster_state::ClusterState;
 use crate::store::keys;
 use crate::wire::state::{Mutation, Precondition, Transaction};
 use crate::wire::to_value;
 use std::collections::BTreeMap;
 
-/// Storage layout of this version of the program: packed and split blocks, pipelines.
-pub const LAYOUT_VERSION: u32 = 2;
+/// Layout that adds pipelines. Versions whose newest layout it is read task blocks in every form, but write them
+/// whole and plain unless lower limits of the state service are announced to them.
+const PIPELINES_LAYOUT: u32 = 2;
+/// Storage layout of this version of the program: task blocks packed, and split where they are too large for a
+/// value, whatever limits are announced.
+pub const LAYOUT_VERSION: u32 = 3;
 
-/// Returns whether every controller named in the settings has recorded durably that it supports this
-/// layout, and no live member states an older one. Checking only the live members would not be sufficient:
-/// a process that died before its upgrade may restart with the old version.
-pub fn all_support_layout<'a>(
+impl LayoutVersion {
+    /// Returns whether task blocks are written packed and split while this layout is in force. All controllers that
+    /// agreed on [`PIPELINES_LAYOUT`] read these forms. Their plain writes, however, are conditional on the block's
+    /// key alone and would replace parts that changed meanwhile.
+    pub fn packs_blocks(self, lower_limits_announced: bool) -> bool {
+        self.layout_version >= LAYOUT_VERSION || lower_limits_announced
+    }
+}
+
+/// Returns the newest layout that every controller named in the settings has recorded durably as supported, and
+/// that every live member states. Checking only the live members would not be sufficient: a process that died
+/// before its upgrade may restart with the old version. `None` if one of them supports only the first layout,
+/// which is not recorded.
+pub fn layout_supported_by_all<'a>(
     names: impl Iterator<Item = &'a str>,
     versions: &BTreeMap<String, LayoutVersion>,
     members: &BTreeMap<String, Member>,
-) -> bool {
-    let mut names = names;
-    names.all(|name| {
+) -> Option<LayoutVersion> {
+    let recorded = names.map(|name| {
         versions
             .get(name)
-            .is_some_and(|recorded| recorded.layout_version >= LAYOUT_VERSION)
-    }) && members
-        .values()
-        .all(|member| member.layout_version >= LAYOUT_VERSION)
+            .map_or(0, |version| version.layout_version)
+    });
+    let stated = members.values().map(|member| member.layout_version);
+    let layout_version = recorded.chain(stated).min()?;
+    (layout_version >= PIPELINES_LAYOUT).then_some(LayoutVersion { layout_version })
+}
+
+/// Returns the next write of a controller towards a newer layout, if one is due: the record that it supports the
+/// layout of this version, or the layout that all controllers in the settings support. A layout that is in force
+/// is only ever raised.
+pub fn next_layout_write<'a>(
+    view: &ClusterState,
+    own_name: &'a str,
+    peer_names: impl Iterator<Item = &'a str>,
+) -> Option<Transaction> {
+    let includes = |layout: Option<&LayoutVersion>, layout_version: u32| {
+        layout.is_some_and(|layout| layout.layout_version >= layout_version)
+    };
+    if includes(view.layout.as_ref(), LAYOUT_VERSION) {
+        return None;
+    }
+    if !includes(view.versions.get(own_name), LAYOUT_VERSION) {
+        let own_layout = LayoutVersion {
+            layout_version: LAYOUT_VERSION,
+        };
+        return Some(put(Vec::new(), keys::version(own_name), own_layout));
+    }
+    let names = peer_names.chain([own_name]);
+    let supported = layout_supported_by_all(names, &view.versions, &view.members)?;
+    let in_force = includes(view.layout.as_ref(), supported.layout_version);
+    let unchanged = vec![view.precondition(keys::LAYOUT)];
+    (!in_force).then(|| put(unchanged, keys::LAYOUT.into(), supported))
+}
+
+/// Returns the transaction that writes a layout under a key.
+fn put(preconditions: Vec<Precondition>, key: String, layout: LayoutVersion) -> Transaction {
+    Transaction {
+        preconditions,
+        mutations: vec![Mutation::Put {
+            key,
+            value: to_value(&layout),
+            lease: None,
+        }],
+    }
 }
 
 impl Controller {
-    /// Records durably that this controller supports the newer layout, and enables the layout once all
-    /// controllers in the settings have done so. Until then everything is written in the form that the
-    /// previous version reads.
+    /// Records durably that this controller supports the layout of this version, and raises the layout in force
+    /// once all controllers in the settings support a newer one. Until then everything is written in the form
+    /// that the versions beside this one read and write.
     pub(super) async fn advance_layout(&self) {
-        let Some(transaction) = self.layout_transaction() else {
+        let peer_names = self.settings.peers.iter().map(|peer| peer.name.as_str());
+        let transaction = next_layout_write(&self.watch_cache.view(), self.node_name(), peer_names);
+        let Some(transaction) = transaction else {
             return;
         };
+        let before = self.watch_cache.view().layout;
         match self.watch_cache.transaction(&transaction).await {
             TransactionOutcome::Committed(_) => {
-                if self.watch_cache.view().layout.is_some() {
+                let in_force = self.watch_cache.view().layout;
+                if let Some(LayoutVersion { layout_version }) =
+                    in_force.filter(|_| in_force != before)
+                {
                     tracing::info!(
-                        layout_version = LAYOUT_VERSION,
+                        layout_version,
                         "storage layout enabled, every controller supports it"
                     );
                 }
@@ -53,35 +113,4 @@
             }
         }
     }
-
-    /// Returns the next write towards enabling the newer layout, if one is due.
-    fn layout_transaction(&self) -> Option<Transaction> {
-        let view = self.watch_cache.view();
-        if view.layout.is_some() {
-            return None;
-        }
-        let own_name = self.node_name();
-        let peer_names = self.settings.peers.iter().map(|peer| peer.name.as_str());
-        let recorded = view.versions.get(own_name);
-        let mut transaction = Transaction::default();
-        let key = if recorded.is_none_or(|recorded| recorded.layout_version < LAYOUT_VERSION) {
-            keys::version(own_name)
-        } else if all_support_layout(peer_names.chain([own_name]), &view.versions, &view.members) {
-            transaction.preconditions.push(Precondition {
-                key: keys::LAYOUT.into(),
-                version: 0,
-            });
-            keys::LAYOUT.into()
-        } else {
-            return None;
-        };
-        transaction.mutations.push(Mutation::Put {
-            key,
-            value: to_value(&LayoutVersion {
-                layout_version: LAYOUT_VERSION,
-            }),
-            lease: None,
-        });
-        Some(transaction)
-    }
 }
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -29,7 +29,7 @@
 mod shard_ownership;
 mod worker_reachability;
 
-pub use layout_agreement::{LAYOUT_VERSION, all_support_layout};
+pub use layout_agreement::{LAYOUT_VERSION, layout_supported_by_all, next_layout_write};
 pub use leader_election::{LeaderStatus, leader_status};
 pub use lease_renewal::{Incarnation, claim_member_key};
 pub use peer_heartbeats::MAX_READY_MACHINES_PER_HEARTBEAT;
--- a/src/store/cluster_state/job.rs
+++ b/src/store/cluster_state/job.rs
@@ -96,6 +96,13 @@
         (self.cancelled() && self.placed == 0) || self.done == self.spec.task_count
     }
 
+    /// Returns whether any of its blocks is split into several keys.
+    pub fn has_split_blocks(&self) -> bool {
+        self.tasks_per_part
+            .iter()
+            .any(|tasks_per_part| *tasks_per_part > 0)
+    }
+
     /// Returns whether the job is a step of a pipeline with a deadline.
     pub fn is_deadline_step(&self) -> bool {
         self.in_pipeline && self.deadline_at.is_some()
--- a/tests/pipelines.rs
+++ b/tests/pipelines.rs
@@ -18,7 +18,7 @@
     TaskBlock, TaskState,
 };
 use coppergw::jobs::pipelines::{DependencyCheck, check_dependencies, job_answer};
-use coppergw::membership::{LAYOUT_VERSION, LayoutVersion, Member, all_support_layout};
+use coppergw::membership::{LAYOUT_VERSION, LayoutVersion, Member, layout_supported_by_all};
 use coppergw::store::cluster_state::ClusterState;
 use coppergw::store::keys;
 use coppergw::wire::state::{Mutation, Transaction};
@@ -227,15 +227,12 @@
         self.sync(controller);
         let names: Vec<String> = (0..CONTROLLER_COUNT).map(controller_name).collect();
         let view = &self.controllers[controller].view;
+        let names = names.iter().map(String::as_str);
         if new_version
-            && all_support_layout(names.iter().map(String::as_str), &view.versions, &members)
+            && let Some(layout) = layout_supported_by_all(names, &view.versions, &members)
         {
-            self.put(
-                keys::LAYOUT.into(),
-                &LayoutVersion {
-                    layout_version: LAYOUT_VERSION,
-                },
-            );
+            assert_eq!(layout.layout_version, LAYOUT_VERSION);
+            self.put(keys::LAYOUT.into(), &layout);
         }
     }
 
@@ -873,7 +870,7 @@
     assert_eq!(truncate_to_size(all.clone(), 32_000, &|_, (n, _)| *n), all);
 }
 
-/// No controller uses the newer layout until every controller has recorded durably that it supports it: one
+/// No controller uses a newer layout until every controller has recorded durably that it supports it: one
 /// that stopped before its upgrade restarts with the old version, whichever members are alive at the time.
 #[test]
 fn the_layout_changes_only_when_all_controllers_support_it() {
@@ -885,29 +882,35 @@
         layout_version,
         restart_count: 0,
     };
-    let names = ["a", "b", "c"];
-    let two_upgraded = BTreeMap::from([("a".into(), version(2)), ("b".into(), version(2))]);
-    let all_upgraded = BTreeMap::from([
-        ("a".into(), version(2)),
-        ("b".into(), version(2)),
-        ("c".into(), version(2)),
-    ]);
-    let live_members = BTreeMap::from([("a".to_string(), member(2)), ("b".to_string(), member(2))]);
-    let rolled_back = BTreeMap::from([("a".to_string(), member(2)), ("c".to_string(), member(0))]);
-    assert!(!all_support_layout(
-        names.into_iter(),
-        &two_upgraded,
-        &live_members
-    ));
-    assert!(all_support_layout(
-        names.into_iter(),
-        &all_upgraded,
-        &live_members
-    ));
-    assert!(
-        !all_support_layout(names.into_iter(), &all_upgraded, &rolled_back),
-        "a member was rolled back"
-    );
+    for layout in [2, LAYOUT_VERSION] {
+        let recorded = |names: &[&str]| -> BTreeMap<String, LayoutVersion> {
+            let names = names.iter().map(|name| name.to_string());
+            names.map(|name| (name, version(layout))).collect()
+        };
+        let two_upgraded = recorded(&["a", "b"]);
+        let all_upgraded = recorded(&["a", "b", "c"]);
+        let live_members = BTreeMap::from([
+            ("a".to_string(), member(layout)),
+            ("b".to_string(), member(layout)),
+        ]);
+        let rolled_back = BTreeMap::from([
+            ("a".to_string(), member(layout)),
+            ("c".to_string(), member(0)),
+        ]);
+        let supported = |versions, members| {
+            layout_supported_by_all(["a", "b", "c"].into_iter(), versions, members)
+        };
+        assert_eq!(supported(&two_upgraded, &live_members), None);
+        assert_eq!(
+            supported(&all_upgraded, &live_members),
+            Some(version(layout))
+        );
+        assert_eq!(
+            supported(&all_upgraded, &rolled_back),
+            None,
+            "a member was rolled back"
+        );
+    }
 }
 
 /// A dependency on a job that was never accepted, on the job itself or on a service is rejected with 422.
