Jobs: plain task blocks are written only as far as they fit into a value

What callers saw: where values are small and the layout is not in force (a controller of the settings has not started, or runs an earlier version), arrays of which no task is placed although machines have room, and cancellations of such arrays that are answered with 503 again and again.

Change: the size of each plain block is followed while the changes of a transaction are applied. A change that would enlarge the value beyond the limit is left for a later transaction; ends and shorter entries always fit, and a placed task counts with a stop request. A gang is written whole or not at all. A block of which no task was placed is left unwritten where it does not fit. A task that is left out takes no precondition either, so that tasks of other blocks follow.

--- a/src/jobs/commit/block_writer.rs
+++ b/src/jobs/commit/block_writer.rs
@@ -8,6 +8,7 @@
 
 use super::draft::{ESTIMATED_RECORD_BYTES, TransactionDraft, put};
 use super::limits::TransactionLimits;
+use super::plain_sizes::is_unplaced;
 use crate::jobs::model::{JobId, JobSpec, StoredBlock, TASKS_PER_BLOCK, TaskBlock, TaskState};
 use crate::store::cluster_state::{ClusterState, Job};
 use crate::store::keys;
@@ -150,7 +151,8 @@
             .unwrap_or(0)
     }
 
-    /// Writes a block with one entry for each slot, the only form that older versions read.
+    /// Writes a block with one entry for each slot, the only form that older versions read. A block without a
+    /// placement that does not fit into a value is left unwritten, which they read as well.
     fn write_plain(
         &self,
         draft: &mut TransactionDraft,
@@ -163,9 +165,25 @@
         if index == 0 {
             draft.bytes += ESTIMATED_RECORD_BYTES;
         }
+        let unwritten_block = TaskBlock::default();
+        let is_too_large = || self.plain_bytes(index) > self.limits.max_value_bytes;
+        let block = match is_unplaced(block) && is_too_large() {
+            true => &unwritten_block,
+            false => block,
+        };
         draft.mutations.push(self.put_block(key, index, block));
     }
 
+    /// Returns the largest size of a block's value in plain form as it is in `view`, in bytes.
+    pub(super) fn plain_bytes(&self, index: u32) -> usize {
+        let block = self.job.blocks.get(index as usize);
+        let block_bytes = block.map_or(0, TaskBlock::plain_bytes);
+        match index {
+            0 => json_size(&(self.spec, [0; 0])) + block_bytes,
+            _ => block_bytes,
+        }
+    }
+
     /// Writes a block in packed form under a single key.
     fn write_packed(
         &self,
--- a/src/jobs/commit/job_transaction.rs
+++ b/src/jobs/commit/job_transaction.rs
@@ -7,6 +7,7 @@
 use super::change::JobChange;
 use super::draft::{ESTIMATED_RECORD_BYTES, TransactionDraft, put};
 use super::limits::TransactionLimits;
+use super::plain_sizes::{PlainSizes, StateChange};
 use super::staging::TeamLimitCheck;
 use crate::ids::MachineId;
 use crate::jobs::model::{
@@ -54,6 +55,8 @@
         changed_keys: BTreeSet::new(),
         machine_preconditions: BTreeMap::new(),
         places_tasks: false,
+        plain_sizes: PlainSizes::default(),
+        gang_too_large: false,
     };
     for change in changes {
         builder.apply(change);
@@ -91,6 +94,11 @@
     /// Keys of the machines that tasks are placed on, and their versions.
     machine_preconditions: BTreeMap<String, u64>,
     places_tasks: bool,
+    /// Sizes of the changed blocks, if blocks are written in plain form.
+    plain_sizes: PlainSizes,
+    /// Whether a change of a gang does not fit into a plain block. All its changes wait then, because they
+    /// are never divided.
+    gang_too_large: bool,
 }
 
 impl JobTransactionBuilder<'_> {
@@ -181,13 +189,15 @@
                 session: *session,
                 stop_grace_period: None,
             };
-            self.set_task(*index, TaskState::Placed(placement));
+            if !self.set_task(*index, TaskState::Placed(placement)) {
+                continue;
+            }
+            self.places_tasks = true;
             self.add_shard_precondition(machine);
             let machine_key = keys::machine(machine);
             let version = self.view.version(&machine_key);
             self.machine_preconditions.insert(machine_key, version);
         }
-        self.places_tasks = true;
     }
 
     /// Returns whether one transaction may place this number of tasks: any number of an array or service,
@@ -231,9 +241,10 @@
         }
     }
 
-    /// Changes a task's state if its key still fits into the transaction; otherwise the change follows in
-    /// the next one. The changes of a gang are never divided between transactions.
-    fn set_task(&mut self, index: u32, state: TaskState) {
+    /// Changes a task's state if its key still fits into the transaction, and its block into a value; otherwise
+    /// the change follows in a later one. The changes of a gang are never divided between transactions. Returns
+    /// whether the state was changed.
+    fn set_task(&mut self, index: u32, state: TaskState) -> bool {
         let reserved = match self.limits.write_packed_blocks {
             true => RESERVED_MUTATIONS_PACKED,
             false => RESERVED_MUTATIONS_PLAIN,
@@ -243,7 +254,13 @@
             && self.changed_keys.len() + reserved > self.limits.max_mutations
             && self.job.spec.kind != JobKind::Gang
         {
-            return;
+            return false;
+        }
+        if !self.fits_into_value(index, &state) {
+            if self.job.spec.kind == JobKind::Gang {
+                self.gang_too_large = true;
+            }
+            return false;
         }
         self.changed_keys.insert(key);
         if let Some(block) = self.job.blocks.get(key.block as usize) {
@@ -253,6 +270,28 @@
                 .or_insert_with(|| block.clone());
             block.set(index % TASKS_PER_BLOCK, state);
         }
+        true
+    }
+
+    /// Returns whether a task's block fits into a value with a new state of the task. Packed blocks are split
+    /// if they do not.
+    fn fits_into_value(&mut self, index: u32, after: &TaskState) -> bool {
+        if self.limits.write_packed_blocks {
+            return true;
+        }
+        let mut sizes = std::mem::take(&mut self.plain_sizes);
+        let block = index / TASKS_PER_BLOCK;
+        let change = self.task(index).map(|before| StateChange {
+            block,
+            before,
+            after,
+        });
+        let fits = change.is_none_or(|change| {
+            let initial_bytes = || self.block_writer().plain_bytes(block);
+            sizes.apply(&change, initial_bytes, self.limits.max_value_bytes)
+        });
+        self.plain_sizes = sizes;
+        fits
     }
 
     fn key_of_task(&self, index: u32) -> TaskKey {
@@ -279,7 +318,7 @@
         if let Some(end) = self.job_end() {
             return self.finalize(end);
         }
-        if self.changed_blocks.is_empty() {
+        if self.changed_blocks.is_empty() || self.gang_too_large {
             return None;
         }
         let newly_split = self.write_blocks();
--- a/src/jobs/commit/mod.rs
+++ b/src/jobs/commit/mod.rs
@@ -12,6 +12,7 @@
 mod garbage_collection;
 mod job_transaction;
 mod limits;
+mod plain_sizes;
 mod staging;
 mod submission;
 
--- a/src/jobs/model/task_block.rs
+++ b/src/jobs/model/task_block.rs
@@ -3,6 +3,7 @@
 
 use crate::ids::MachineId;
 use crate::time::Micros;
+use crate::wire::json_size;
 use serde::{Deserialize, Serialize};
 use std::ops::Range;
 
@@ -14,6 +15,13 @@
 /// Number of microseconds in a millisecond: grace periods are stored in milliseconds.
 const MICROS_PER_MILLI: Micros = 1000;
 
+/// Stored form of a grace period of a thousand seconds.
+const LONG_STORED_GRACE: u64 = 1_000_001;
+/// Size of the separator between two entries of a plain block, in bytes.
+const SEPARATOR_BYTES: usize = 1;
+/// Size of the brackets around the entries of a plain block, in bytes.
+const BRACKET_BYTES: usize = 2;
+
 /// Placement of an attempt on a machine.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Placement {
@@ -38,6 +46,19 @@
     Done,
 }
 
+impl TaskState {
+    /// Returns the largest size of the state's entry in the plain stored form, in bytes of JSON with a separator.
+    /// A placed task counts with a stop request, so that the request fits later.
+    pub fn plain_bytes(&self) -> usize {
+        let (kind, attempt, machine, session, grace) = PlainState::from(self);
+        let grace = match self {
+            TaskState::Placed(_) => grace.max(LONG_STORED_GRACE),
+            _ => grace,
+        };
+        json_size(&(kind, attempt, machine, session, grace)) + SEPARATOR_BYTES
+    }
+}
+
 impl Default for TaskState {
     /// State of a task before its first attempt.
     fn default() -> TaskState {
@@ -181,6 +202,14 @@
         *self = result;
     }
 
+    /// Returns the largest size of the block in plain stored form, in bytes of JSON.
+    pub fn plain_bytes(&self) -> usize {
+        let entries = self
+            .runs()
+            .map(|(positions, state)| positions.len() * state.plain_bytes());
+        entries.sum::<usize>() + BRACKET_BYTES
+    }
+
     /// Returns the memory that the block has allocated, in bytes. Names of machines are not included.
     pub fn allocated_bytes(&self) -> usize {
         self.runs.capacity() * size_of::<TaskRun>()
--- a/tests/value_limits/deployment.rs
+++ b/tests/value_limits/deployment.rs
@@ -218,6 +218,12 @@
             .collect()
     }
 
+    /// Returns the number of placed tasks.
+    pub(crate) fn placed_tasks(&self) -> u32 {
+        let jobs = self.controllers[0].view.jobs.values();
+        jobs.map(|job| job.placed).sum()
+    }
+
     /// Returns the keys of jobs, without those of ended ones.
     pub(crate) fn keys_of_jobs(&self) -> Vec<&String> {
         let of_jobs = |key: &&String| {
--- a/tests/value_limits/lifecycles.rs
+++ b/tests/value_limits/lifecycles.rs
@@ -23,6 +23,11 @@
 /// Rounds within which all jobs end when nothing fails any more.
 const SETTLE_ROUNDS: u32 = 600;
 
+/// Id of the first job.
+const FIRST_JOB: &str = "req-000000";
+/// Number of tasks on a machine, where they are placed on few.
+const TASKS_PER_MACHINE: u32 = 8;
+
 /// What one controller does next.
 #[derive(Clone, Copy, Debug)]
 enum Step {
@@ -165,6 +170,72 @@
     deployment.sync(1);
 }
 
+/// Placement of all waiting tasks of the only job, eight on each machine.
+fn place_on_few_machines(deployment: &Deployment) -> JobChange {
+    let machine = |index: u32| format!("m-{:06}", index / TASKS_PER_MACHINE).into();
+    let job = &deployment.controllers[0].view.jobs[FIRST_JOB];
+    let tasks = job
+        .waiting_indexes()
+        .map(|index| (index, machine(index), 1));
+    JobChange::Place {
+        job: FIRST_JOB.into(),
+        tasks: tasks.collect(),
+    }
+}
+
+/// Guards against a plain block that outgrows its value while more and more of its tasks are placed, and against an
+/// array of which no task is placed any more: entries of tasks that wait take most of the value.
+#[test]
+fn large_arrays_end_in_plain_form_within_small_values() {
+    let mut deployment = Deployment::new((4 * 1024, 12), false);
+    submit_all(&mut deployment, &[job(JobKind::Array, 500, 0)]);
+    for _ in 0..SETTLE_ROUNDS {
+        for _ in 0..3 {
+            let Some(_) = deployment.unfinished_tasks().get(FIRST_JOB) else {
+                return;
+            };
+            let place = place_on_few_machines(&deployment);
+            deployment.write(0, &[place]);
+            deployment.sync(0);
+        }
+        let ends = deployment.ends(0, |index, _| index.is_multiple_of(2).then_some(true));
+        deployment.write(0, &ends);
+        deployment.sync(0);
+        let ends = deployment.ends(0, |index, placement| {
+            Some(!(index + placement.attempt).is_multiple_of(3))
+        });
+        deployment.write(0, &ends);
+        deployment.sync(0);
+    }
+    panic!("unfinished: {:?}", deployment.unfinished_tasks());
+}
+
+/// Guards against a gang of which some tasks are placed and others are not, and against a write that is refused again
+/// and again: a gang that does not fit into a plain block waits until blocks are packed.
+#[test]
+fn gang_that_outgrows_a_plain_block_waits_until_blocks_are_packed() {
+    let mut deployment = Deployment::new((2 * 1024, 12), false);
+    submit_all(&mut deployment, &[job(JobKind::Gang, 120, 0)]);
+    let place = place_on_few_machines(&deployment);
+    deployment.write(0, std::slice::from_ref(&place));
+    deployment.sync(0);
+    assert_eq!(deployment.placed_tasks(), 0);
+    deployment.packed = true;
+    deployment.write(0, &[place]);
+    deployment.sync(0);
+    assert_eq!(deployment.placed_tasks(), 120);
+}
+
+/// Guards against cancellations that are never confirmed: the record of a job of which no task was placed grows by
+/// the entries of its first block when it is written again.
+#[test]
+fn unplaced_array_can_be_cancelled_in_plain_form_within_small_values() {
+    let mut deployment = Deployment::new((2 * 1024, 12), false);
+    submit_all(&mut deployment, &[job(JobKind::Array, 256, 0)]);
+    deployment.cancel(0, &FIRST_JOB.into());
+    settle(&mut deployment);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 48, failure_persistence: None, max_shrink_iters: 200, rng_seed: proptest::test_runner::RngSeed::Fixed(55), ..ProptestConfig::default() })]
 
@@ -183,4 +254,25 @@
         }
         settle(&mut deployment);
     }
+
+    /// Guards against the same while an earlier version may be beside this one, and when blocks that it wrote are
+    /// packed later: every write in plain form fits as well.
+    #[test]
+    fn every_write_of_a_job_fits_before_the_layout_is_in_force(
+        limits in 0..LIMITS.len(),
+        jobs in proptest::collection::vec(generated_job(), 1..5),
+        plain_steps in proptest::collection::vec((0..2usize, step()), 10..40),
+        packed_steps in proptest::collection::vec((0..2usize, step()), 10..40),
+    ) {
+        let mut deployment = Deployment::new(LIMITS[limits], false);
+        submit_all(&mut deployment, &jobs);
+        for (controller, step) in plain_steps {
+            run_step(&mut deployment, controller, step);
+        }
+        deployment.packed = true;
+        for (controller, step) in packed_steps {
+            run_step(&mut deployment, controller, step);
+        }
+        settle(&mut deployment);
+    }
 }
--- a/tests/value_limits/placements.rs
+++ b/tests/value_limits/placements.rs
@@ -97,3 +97,15 @@
     }
     assert_eq!(placed_tasks(&staged), FREE_PLACES);
 }
+
+/// Guards against the same while a controller of the settings has not started yet, so that the layout is not agreed
+/// on and blocks are written plain: as many tasks are placed as fit into the value.
+#[test]
+fn array_is_placed_as_far_as_values_allow_before_the_layout_is_in_force() {
+    let staged = placements(None);
+    for staged in &staged {
+        let value_bytes = staged.transaction.largest_value_bytes();
+        assert!(value_bytes <= VALUE_BYTES, "a value of {value_bytes} bytes");
+    }
+    assert!(placed_tasks(&staged) > 0);
+}
