State service: the log of a refused transaction names the largest value, and the reason as text

Cause: the error of a transaction that is too large named the key of the first write, which in a merged transaction need not be the one that was refused, and the reason with the bytes of its encoding ("eerrorvthe value is too large"). Change: field largest_value_key; the reason is decoded, and where a response has none the body is logged as text. The reason of a refused scale-out request is read the same way.

--- a/crates/base/src/wire/client.rs
+++ b/crates/base/src/wire/client.rs
@@ -30,6 +30,14 @@
             Err(WireError::Status(self.status))
         }
     }
+
+    /// Returns the reason of an error response, or the body as text if it contains none.
+    pub fn error_reason(&self) -> String {
+        match super::decode::<super::ErrorBody>(&self.body) {
+            Ok(body) => body.error,
+            Err(_) => String::from_utf8_lossy(&self.body).replace('\n', " "),
+        }
+    }
 }
 
 /// HTTP client with its connection pool.
--- a/crates/base/src/wire/client/tests.rs
+++ b/crates/base/src/wire/client/tests.rs
@@ -42,3 +42,13 @@
     assert!(matches!(error_of(23), WireError::NoFileDescriptors));
     assert!(matches!(error_of(111), WireError::Connection(_)));
 }
+
+/// Guards against log lines with the bytes of an encoded reason: operators search for the text.
+#[test]
+fn reason_of_an_error_response_is_its_text() {
+    let reason_of = |body: Vec<u8>| ClientResponse { status: 400, body }.error_reason();
+    let error = "value too large".to_string();
+    let encoded = crate::wire::encode(&crate::wire::ErrorBody { error });
+    assert_eq!(reason_of(encoded), "value too large");
+    assert_eq!(reason_of(b"two\nlines".to_vec()), "two lines");
+}
--- a/crates/base/src/wire/state.rs
+++ b/crates/base/src/wire/state.rs
@@ -93,6 +93,14 @@
             Mutation::Put { key, .. } | Mutation::Delete { key } => key,
         }
     }
+
+    /// Returns the size of the written value in bytes of JSON; 0 for a deletion.
+    fn value_bytes(&self) -> usize {
+        match self {
+            Mutation::Put { value, .. } => super::json_size(value),
+            Mutation::Delete { .. } => 0,
+        }
+    }
 }
 
 /// Compare-and-swap transaction.
@@ -127,11 +135,20 @@
 
     /// Returns the size of the largest value in bytes of JSON, the unit of the limit of the value size.
     pub fn largest_value_bytes(&self) -> usize {
-        let size = |mutation: &Mutation| match mutation {
-            Mutation::Put { value, .. } => super::json_size(value),
-            Mutation::Delete { .. } => 0,
-        };
-        self.mutations.iter().map(size).max().unwrap_or(0)
+        self.mutations
+            .iter()
+            .map(Mutation::value_bytes)
+            .max()
+            .unwrap_or(0)
+    }
+
+    /// Returns the key of the largest value.
+    pub fn largest_value_key(&self) -> Option<&str> {
+        let largest = self
+            .mutations
+            .iter()
+            .max_by_key(|mutation| mutation.value_bytes());
+        largest.map(Mutation::key)
     }
 }
 
--- a/src/autoscaler/reconciler/scale_out_requests.rs
+++ b/src/autoscaler/reconciler/scale_out_requests.rs
@@ -156,9 +156,7 @@
                 .map_or(ProvisionOutcome::Retry, |names| {
                     ProvisionOutcome::Provisioned(names.machines)
                 }),
-            503 if String::from_utf8_lossy(&answer.body).contains(NO_CAPACITY_TEXT) => {
-                ProvisionOutcome::Refused
-            }
+            503 if answer.error_reason().contains(NO_CAPACITY_TEXT) => ProvisionOutcome::Refused,
             400 => {
                 tracing::warn!(
                     request = name,
--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -270,7 +270,7 @@
 /// Logs that the service rejected a transaction as malformed, which is a fault of this controller. Does not
 /// log if the response only reports that the lease of one of the keys has expired.
 fn log_malformed_transaction(transaction: &Transaction, response: &ClientResponse) {
-    let reason = String::from_utf8_lossy(&response.body);
+    let reason = response.error_reason();
     if reason.contains("no such lease") {
         return;
     }
@@ -278,8 +278,9 @@
         first = transaction.mutations.first().map(state::Mutation::key),
         mutations = transaction.mutations.len(),
         preconditions = transaction.preconditions.len(),
+        largest_value_key = transaction.largest_value_key(),
         largest_value_bytes = transaction.largest_value_bytes(),
-        reason = reason.replace('\n', " "),
+        reason,
         "state service rejected a transaction as malformed"
     );
 }
