--- a/src/jobs/commit/plain_sizes.rs
+++ b/src/jobs/commit/plain_sizes.rs
@@ -1,8 +1,8 @@
 //! Sizes of plain blocks while the changes of a transaction are applied to them.
 //!
-//! A plain block can neither be packed nor split, because a controller beside this one reads no other form. Its
+//! A block is written plain while a controller beside this one may not read other forms, or may overwrite them. Its
 //! tasks are placed only as far as their entries fit into the value; the others wait until entries become shorter
-//! or every controller reads the other forms.
+//! or the layout changes.
 
 use crate::jobs::model::{TaskBlock, TaskState};
 use std::collections::BTreeMap;
