--- a/src/membership/layout_agreement.rs
+++ b/src/membership/layout_agreement.rs
@@ -20,7 +20,7 @@
 
 impl LayoutVersion {
     /// Returns whether task blocks are written packed and split while this layout is in force. All controllers that
-    /// agreed on [`PIPELINES_LAYOUT`] read these forms. Their plain writes, however, are conditional on the block's
+    /// agreed on the layout before it read these forms. Their plain writes, however, are conditional on the block's
     /// key alone and would replace parts that changed meanwhile.
     pub fn packs_blocks(self, lower_limits_announced: bool) -> bool {
         self.layout_version >= LAYOUT_VERSION || lower_limits_announced
