--- a/tests/known_red.rs
+++ b/tests/known_red.rs
@@ -71,25 +71,33 @@
 
 #[test]
 fn only_listed_tests_may_fail_and_are_printed() {
-    let two = run("two", Some("m::b | cause | 23\nm::a | gone | 24\n"));
+    let two = run(
+        "two",
+        Some("m::b | cargo test b, seed 1 | fails | 23\nm::a | cargo test a | gone | 24\n"),
+    );
     assert!(two.output.status.success(), "{}", two.printed());
     let others = "test --locked --workspace -- --exact --skip m::b --skip m::a\n";
     assert!(two.calls().contains(others), "{}", two.calls());
     assert!(two.printed().contains("m::b fails"));
     assert!(two.printed().contains("m::a passes now"));
-    let other = run("other", Some("m::a | cause | 23"));
+    let other = run("other", Some("m::a | cargo test a | fails | 23"));
     assert!(!other.output.status.success(), "b fails and is not listed");
 }
 
 #[test]
 fn invalid_lists_are_rejected() {
     for (name, text, reason) in [
-        ("long", "m::a|c|1\nm::b|c|1\nm::bb|c|1\nm::a|c|1\n", "three"),
-        ("short", "m::b | cause\n", "line 1"),
-        ("blank", "m::b | | 23\n", "line 1"),
-        ("more", "m::b | a | 23 | c\n", "line 1"),
-        ("unknown", "m::c | cause | 23\n", "no test"),
-        ("part", "b | cause | 23\n", "no test"),
+        (
+            "long",
+            "m::a|c|s|1\nm::b|c|s|1\nm::bb|c|s|1\nm::a|c|s|1\n",
+            "three",
+        ),
+        ("short", "m::b | cargo test b | fails\n", "line 1"),
+        ("no-command", "m::b | | fails | 23\n", "line 1"),
+        ("not-seen", "m::b | cargo test b | | 23\n", "line 1"),
+        ("more", "m::b | a | b | 23 | c\n", "line 1"),
+        ("unknown", "m::c | cargo test c | fails | 23\n", "no test"),
+        ("part", "b | cargo test b | fails | 23\n", "no test"),
     ] {
         let rejected = run(name, Some(text));
         assert_eq!(rejected.output.status.code(), Some(1), "{name}");
