--- a/tests/invariants/main.rs
+++ b/tests/invariants/main.rs
@@ -1,7 +1,7 @@
 //! Safety rules under generated failures, with a virtual clock and a simulated state service, cloud and workers.
 //! The state machines of the controllers are those of the production code.
 //!
-//! Transactions, heartbeats and direct calls are lost, delayed or delivered twice. Machines get into an outbound
+//! Transactions, heartbeats and direct calls are lost, delayed or delivered twice, also after they were answered. Machines get into an outbound
 //! partition (their heartbeats arrive, answers and commands to them are lost) or an inbound partition (their
 //! heartbeats reach no controller, direct calls arrive). They hang, and resume within their lease with the
 //! commands queued during the hang. Every cancellation is confirmed at once, and the tasks of a cancelled job must
@@ -15,6 +15,7 @@
 mod common;
 mod controllers;
 mod events;
+mod repeated_starts;
 mod workers;
 mod world;
 
--- a/tests/invariants/workers.rs
+++ b/tests/invariants/workers.rs
@@ -9,6 +9,9 @@
 use coppergw::workers::{CommandChannel, HeartbeatSource, commands};
 use foldhash::{HashMap, HashMapExt};
 
+/// Outcome of a direct call that is executed and answered, and whose copy arrives later, modulo 4.
+pub(crate) const ANSWERED_AND_REPEATED: u8 = 3;
+
 impl World {
     /// Returns the next heartbeat of a worker.
     pub(crate) fn heartbeat(&mut self, worker_index: usize) -> Heartbeat {
@@ -63,8 +66,8 @@
         }
     }
 
-    /// Starts a task, after checks that it runs nowhere else and that its job is neither done nor cancelled for
-    /// longer than `CANCEL_TIMEOUT`.
+    /// Starts a task, after checks that it runs nowhere else, that this attempt of it did not start before, and that
+    /// its job is neither done nor cancelled for longer than `CANCEL_TIMEOUT`.
     pub(crate) fn start(&mut self, worker_index: usize, task: &str, attempt: u64) {
         if self.workers[worker_index].tasks.contains_key(task) {
             return;
@@ -80,6 +83,10 @@
                 "ran_twice: {task} is running on {other_index} and is started on {worker_index}"
             );
         }
+        assert!(
+            self.started_attempts.insert((task.to_string(), attempt)),
+            "attempt {attempt} of {task} starts again on {worker_index}"
+        );
         let (job, _) = task.split_once('/').expect("task name");
         assert!(
             !self.finished_jobs.get(job).is_some_and(|done| *done),
@@ -199,7 +206,7 @@
     }
 
     /// Sends commands of a controller directly to one of its machines. The generated `outcome` selects whether they
-    /// are delayed and whether the reply is lost.
+    /// are delayed, whether the reply is lost, and whether a copy arrives once more after the reply.
     pub(crate) fn send_direct_call(
         &mut self,
         controller_index: usize,
@@ -244,6 +251,10 @@
         if outcome % 4 == 1 {
             return; // The commands are executed, but the reply is lost.
         }
+        if outcome % 4 == ANSWERED_AND_REPEATED {
+            let copy = DelayedMessage::CommandBatch(worker_index, term, session, batch.clone());
+            self.delayed.push(copy);
+        }
         let reply = self.heartbeat(worker_index);
         let now = self.now;
         if let Some(worker) = self.controllers[controller_index].machines.get_mut(&id) {
--- a/tests/invariants/world.rs
+++ b/tests/invariants/world.rs
@@ -93,12 +93,27 @@
     pub(crate) cancelled_at: HashMap<String, Micros>,
     /// Number of tasks that started to run once their gang was complete.
     pub(crate) started_gang_tasks: u32,
+    /// Attempts that a worker has started, by task and attempt.
+    pub(crate) started_attempts: HashSet<(String, u64)>,
 }
 
 pub(crate) fn machine_type() -> MachineType {
     common::machine_type("t", 4.0, 0.0)
 }
 
+/// Returns the record of a machine in its first session.
+pub(crate) fn machine_record(state: MachineState) -> MachineRecord {
+    MachineRecord {
+        machine_type: "t".into(),
+        zone: "z".into(),
+        spot: false,
+        address: None,
+        session: 1,
+        state,
+        provisioned_at: 0,
+    }
+}
+
 pub(crate) fn spec(kind: JobKind, tasks: u32, at: Micros) -> JobSpec {
     JobSpec {
         priority: if kind == JobKind::Service {
@@ -126,6 +141,7 @@
             finished_jobs: HashMap::new(),
             cancelled_at: HashMap::new(),
             started_gang_tasks: 0,
+            started_attempts: HashSet::new(),
         };
         world
             .store
@@ -151,18 +167,8 @@
 
     pub(crate) fn add_machine(&mut self) {
         let name: MachineId = format!("m-{:06}", self.workers.len()).into();
-        self.store.put(
-            keys::machine(&name),
-            &MachineRecord {
-                machine_type: "t".into(),
-                zone: "z".into(),
-                spot: false,
-                address: None,
-                session: 1,
-                state: MachineState::Up,
-                provisioned_at: 0,
-            },
-        );
+        self.store
+            .put(keys::machine(&name), &machine_record(MachineState::Up));
         self.workers.push(SimulatedWorker {
             name,
             alive: true,
