--- a/src/membership/layout_agreement.rs
+++ b/src/membership/layout_agreement.rs
@@ -14,16 +14,24 @@
 /// Layout that adds pipelines. Versions whose newest layout it is read task blocks in every form, but write them
 /// whole and plain unless lower limits of the state service are announced to them.
 const PIPELINES_LAYOUT: u32 = 2;
-/// Storage layout of this version of the program: task blocks packed, and split where they are too large for a
-/// value, whatever limits are announced.
-pub const LAYOUT_VERSION: u32 = 3;
+/// Layout that writes task blocks packed, and split where they are too large for a value, whatever limits are
+/// announced.
+const PACKED_BLOCKS_LAYOUT: u32 = 3;
+/// Layout of this version of the program: fencing tokens of machines may be raised within a term. Earlier versions
+/// take them for the tokens of a later owner.
+pub const LAYOUT_VERSION: u32 = 4;
 
 impl LayoutVersion {
     /// Returns whether task blocks are written packed and split while this layout is in force. All controllers that
     /// agreed on the layout before it read these forms. Their plain writes, however, are conditional on the block's
     /// key alone and would replace parts that changed meanwhile.
     pub fn packs_blocks(self, lower_limits_announced: bool) -> bool {
-        self.layout_version >= LAYOUT_VERSION || lower_limits_announced
+        self.layout_version >= PACKED_BLOCKS_LAYOUT || lower_limits_announced
+    }
+
+    /// Returns whether fencing tokens may have increments within a term while this layout is in force.
+    pub fn increments_tokens(self) -> bool {
+        self.layout_version >= LAYOUT_VERSION
     }
 }
 
--- a/src/workers/command_dispatch.rs
+++ b/src/workers/command_dispatch.rs
@@ -2,10 +2,10 @@
 //!
 //! At most one call to a machine is in flight. A call without commands is a probe: it delivers the
 //! fencing token of this controller to the worker, and the reply confirms that the machine is alive. A
-//! start whose call receives no reply stays unacknowledged, because it may still be executed at any
-//! time.
+//! start may still be executed at any time, with or without a reply (`direct_starts`).
 
 use super::commands::{CommandChannel, commands};
+use super::fencing_token::{FencingToken, TokenFormat};
 use super::heartbeat::{HeartbeatOutcome, HeartbeatSource};
 use super::heartbeat_handler::MAX_COMMANDS_PER_MESSAGE;
 use super::liveness::latest_contact;
@@ -58,7 +58,9 @@
 struct DirectCall {
     machine: MachineId,
     address: SocketAddr,
-    term: u64,
+    token: FencingToken,
+    /// Form in which the token is sent.
+    token_format: TokenFormat,
     /// Session that the commands are for; the worker refuses them in any other session.
     session: u64,
     /// Time of the latest contact with any machine, taken before the call was sent.
@@ -137,7 +139,8 @@
         Some(DirectCall {
             machine: id.clone(),
             address,
-            term: worker.term,
+            token: worker.token(),
+            token_format: TokenFormat::in_use(context.view),
             session,
             latest_contact: context.latest_contact,
             commands,
@@ -194,7 +197,7 @@
 
     async fn make_call(self: Rc<Controller>, call: DirectCall) {
         let body = encode(&CommandBatch {
-            fencing_token: call.term,
+            fencing_token: call.token.to_wire(call.token_format),
             session: Some(call.session),
             commands: call.commands.clone(),
         });
@@ -229,7 +232,7 @@
     ) -> bool {
         let mut machines = self.workers.machines.borrow_mut();
         let worker = machines.get_mut(&call.machine);
-        let Some(worker) = worker.filter(|w| w.term == call.term) else {
+        let Some(worker) = worker.filter(|w| w.term == call.token.term) else {
             return false;
         };
         worker.outstanding.in_flight = false;
@@ -250,7 +253,7 @@
             Err(WireError::NoFileDescriptors) => {
                 // Nothing was sent because no socket was available, so the failure is not the
                 // machine's.
-                worker.acknowledge_direct_commands(&call.commands);
+                worker.remove_unsent_starts(&call.commands);
                 worker.remove_sent_commands(&call.commands);
                 worker.outstanding.not_before = now + RETRY_DELAY_AFTER_FAILURE;
                 true
@@ -278,17 +281,30 @@
         reply: &ClientResponse,
         now: Micros,
     ) -> Option<HeartbeatOutcome> {
-        if reply.status == 409 {
-            worker.outstanding.not_before = now + RETRY_DELAY_AFTER_REFUSAL;
-        }
         let message = decode::<Heartbeat>(&reply.body);
         let Some(message) = message.ok().filter(|m| *m.machine == *call.machine) else {
             worker.outstanding.not_before = now + RETRY_DELAY_AFTER_INVALID_REPLY;
             return None;
         };
+        if reply.status == 409 {
+            record_refusal(worker, call, &message, now);
+        }
         worker.acknowledge_direct_commands(&call.commands);
         let outcome = worker.apply_heartbeat(&message, HeartbeatSource::CommandReply, now);
         worker.record_answered_probe(self.settings.heartbeat_interval, now);
         Some(outcome)
     }
 }
+
+/// Records that the worker refused a call. A call that was sent before the token was raised within the term is
+/// repeated without delay; another session or a later owner takes longer to become known.
+fn record_refusal(worker: &mut WorkerState, call: &DirectCall, reply: &Heartbeat, now: Micros) {
+    let reported = FencingToken::from_wire(reply.fencing_token);
+    let token_raised =
+        reported.term == call.token.term && reported > call.token && reply.session == call.session;
+    if token_raised {
+        worker.remove_sent_commands(&call.commands);
+    } else {
+        worker.outstanding.not_before = now + RETRY_DELAY_AFTER_REFUSAL;
+    }
+}
--- a/src/workers/commands.rs
+++ b/src/workers/commands.rs
@@ -1,8 +1,8 @@
 //! Commands that a machine needs: the difference between its task blocks and its newest message. Pure.
 //!
-//! Also tracks starts that were sent and may not have been executed yet
+//! Also tracks starts that were sent in answers to heartbeats and may not have been executed yet
 //! ([`OutstandingCommands`](super::OutstandingCommands)). Until it is certain that such a start can no
-//! longer be executed, no `Forget` is sent for its attempt, and the attempt is not recorded as ended.
+//! longer be executed, the attempt is not recorded as ended.
 
 use super::worker_state::{ObservedTask, TaskAttempt, WorkerState};
 use crate::ids::MachineId;
@@ -22,12 +22,12 @@
     /// heartbeat or never. `Forget` is allowed only here, because no command in an answer is executed
     /// late.
     HeartbeatAnswer,
-    /// A direct call. Its commands may be executed at any later time until the call is acknowledged.
+    /// A direct call. Its commands may be executed at any later time, also after the call was answered.
     Direct,
 }
 
-/// Returns the commands that a machine needs now. Records the starts that are sent in the answer to a
-/// heartbeat.
+/// Returns the commands that a machine needs now. For the answer to a heartbeat, records the starts and
+/// raises the worker's token if a `Forget` needs it; the answer has to carry the token.
 pub fn commands(
     view: &ClusterState,
     machine: &MachineId,
@@ -36,11 +36,14 @@
 ) -> Vec<Command> {
     let empty = BTreeMap::new();
     let placed = view.tasks_on(machine).unwrap_or(&empty);
+    if channel == CommandChannel::HeartbeatAnswer {
+        worker.raise_token_if_needed(view, placed);
+    }
     let mut out = Vec::new();
     for (key, observed) in &worker.tasks {
         let wanted = placed
             .get(key)
-            .is_some_and(|p| p.session == worker.session && p.attempt == observed.attempt);
+            .is_some_and(|placement| worker.shows(placement, observed.attempt));
         if !wanted {
             out.extend(command_for_unwanted(worker, key, observed, channel));
         }
@@ -88,12 +91,8 @@
             grace_period_s: 0.0,
         });
     }
-    // Every direct start of the attempt has to be acknowledged first: after `Forget`, a late start
-    // would run it again.
-    let unacknowledged = &worker.outstanding.unacknowledged_starts;
     let may_forget = channel == CommandChannel::HeartbeatAnswer
-        && worker.fenced()
-        && !unacknowledged.contains(&(key.0.clone(), key.1, observed.attempt));
+        && worker.may_forget(&key.0, key.1, observed.attempt);
     may_forget.then(|| Command::Forget {
         task: task_name(&key.0, key.1),
         attempt,
@@ -117,7 +116,7 @@
             let start = (key.0.clone(), key.1, placement.attempt);
             if in_answer {
                 record_start_in_response(worker, start);
-            } else if worker.outstanding.unacknowledged_starts.contains(&start) {
+            } else if worker.outstanding.direct_starts.is_unacknowledged(&start) {
                 return None;
             }
             Some(Command::Start {
@@ -129,7 +128,8 @@
         (Some(current), None)
             if in_answer
                 && current.attempt < placement.attempt
-                && current.status == TaskStatus::Exited =>
+                && current.status == TaskStatus::Exited
+                && worker.may_forget(&key.0, key.1, current.attempt) =>
         {
             record_start_in_response(worker, (key.0.clone(), key.1, placement.attempt));
             Some(Command::Start {
@@ -160,7 +160,7 @@
 }
 
 /// Returns the attempts that `commands` start.
-fn started_attempts(commands: &[Command]) -> impl Iterator<Item = TaskAttempt> {
+pub(super) fn started_attempts(commands: &[Command]) -> impl Iterator<Item = TaskAttempt> {
     commands.iter().filter_map(|command| {
         let Command::Start { task, attempt } = command else {
             return None;
@@ -191,34 +191,4 @@
         let recent = &mut self.outstanding.recent_commands;
         recent.retain(|(_, sent)| !commands.contains(sent));
     }
-
-    /// Records direct starts that are being sent. Until acknowledged, they may be executed at any time.
-    pub fn record_direct_starts(&mut self, commands: &[Command]) {
-        let starts = started_attempts(commands);
-        self.outstanding.unacknowledged_starts.extend(starts);
-    }
-
-    /// Records that direct commands were acknowledged: all were executed or refused, or none was sent.
-    pub fn acknowledge_direct_commands(&mut self, commands: &[Command]) {
-        for start in started_attempts(commands) {
-            self.outstanding.unacknowledged_starts.remove(&start);
-        }
-    }
-
-    /// Returns whether an unacknowledged direct start prevents an attempt from being forgotten, moved
-    /// or started again. Such a start becomes impossible only when the worker has seen a higher term.
-    pub fn blocked_by_unacknowledged_start(&self) -> bool {
-        let may_still_start = |(job, index, attempt): &TaskAttempt| {
-            self.tasks
-                .get(&(job.clone(), *index))
-                .is_none_or(|o| o.attempt != *attempt || o.status == TaskStatus::Exited)
-        };
-        self.fenced()
-            && !self.outstanding.in_flight
-            && self
-                .outstanding
-                .unacknowledged_starts
-                .iter()
-                .any(may_still_start)
-    }
 }
--- a/src/workers/heartbeat.rs
+++ b/src/workers/heartbeat.rs
@@ -3,6 +3,7 @@
 //! A message is applied only if it is newer than all messages applied before (by session, then sequence
 //! number), because messages may arrive late or twice.
 
+use super::fencing_token::FencingToken;
 use super::task_durations::{FinishedTask, TaskDurations};
 use super::worker_state::{MachineDescription, ObservedTask, TaskFailure, WorkerState};
 use crate::jobs::model::{JobId, parse_task};
@@ -78,7 +79,7 @@
     fn clear_previous_session(&mut self) {
         self.tasks.clear();
         self.outstanding.starts_in_response.clear();
-        self.outstanding.unacknowledged_starts.clear();
+        self.outstanding.direct_starts.clear();
         self.failures.counted_exits.clear();
         self.heartbeat.heartbeat_sequence = 0;
         self.heartbeat.last_answered_at = None;
@@ -92,15 +93,21 @@
         self.probes.last_counted_answer_at = now;
     }
 
-    /// Returns whether the worker reported a higher token, or this term's token for the first time in
+    /// Returns whether the worker reported a higher token, or a token of this term for the first time in
     /// its session.
     fn record_fencing_token(&mut self, token: u64, new_session: bool, now: Micros) -> bool {
+        let token = FencingToken::from_wire(token);
         let mut changed = false;
         if token > self.heartbeat.fencing_token {
             self.heartbeat.fencing_token = token;
             changed = true;
         }
-        if token == self.term && (self.heartbeat.fenced_at.is_none() || new_session) {
+        self.outstanding.direct_starts.remove_refused(token);
+        if token.term != self.term {
+            return changed;
+        }
+        self.token_increments = self.token_increments.max(token.increments);
+        if self.heartbeat.fenced_at.is_none() || new_session {
             self.heartbeat.fenced_at = Some(now);
             changed = true;
         }
--- a/src/workers/heartbeat_handler.rs
+++ b/src/workers/heartbeat_handler.rs
@@ -4,6 +4,7 @@
 //! answers, and only while its view contains all cancellations up to a recent enough time.
 
 use super::commands::{CommandChannel, commands};
+use super::fencing_token::{FencingToken, TokenFormat};
 use super::heartbeat::{HeartbeatOutcome, HeartbeatSource};
 use super::liveness::may_answer_heartbeats;
 use super::worker_state::WorkerState;
@@ -19,6 +20,13 @@
 /// Maximum number of commands in one message to a worker. The size limit of a message is 64 KiB.
 pub(super) const MAX_COMMANDS_PER_MESSAGE: usize = 400;
 
+/// Answer to a periodic heartbeat, and the changes that resulted from the heartbeat.
+struct PeriodicAnswer {
+    outcome: HeartbeatOutcome,
+    token: FencingToken,
+    commands: Vec<Command>,
+}
+
 /// Returns the name of the controller to which a controller that does not own the shard redirects a
 /// worker with this fencing token, or `None` if the owner is unknown. A token higher than the shard's
 /// term in this view means that the view does not contain the newest owner yet. If such a view
@@ -28,14 +36,14 @@
     view: &'a ClusterState,
     own_name: &str,
     shard: u32,
-    fencing_token: u64,
+    fencing_token: FencingToken,
 ) -> Option<&'a str> {
     let shard = view.shards.get(&shard)?;
     let owner_is_alive = view
         .members
         .get(&shard.owner)
         .is_some_and(|m| m.lease == shard.lease);
-    (owner_is_alive && shard.owner != own_name && fencing_token <= shard.term)
+    (owner_is_alive && shard.owner != own_name && fencing_token.term <= shard.term)
         .then_some(shard.owner.as_str())
 }
 
@@ -63,11 +71,15 @@
         if !may_answer_heartbeats(lease, cancel_within, self.cancellation_watermark(), now) {
             return Response::status(503);
         }
-        if heartbeat.fencing_token > term {
+        if FencingToken::from_wire(heartbeat.fencing_token).term > term {
             // The machine has a newer owner that this controller's view does not contain yet.
             return Response::status(503);
         }
-        let (outcome, commands) = self.apply_periodic(&view, &machine, term, &heartbeat, now);
+        let PeriodicAnswer {
+            outcome,
+            token,
+            commands,
+        } = self.apply_periodic(&view, &machine, term, &heartbeat, now);
         let changed = outcome.changed;
         self.record_task_outcomes(&machine, outcome, now);
         self.record_milestone(StartupMilestone::Heartbeat);
@@ -79,14 +91,14 @@
         Response::with_body(
             200,
             &CommandBatch {
-                fencing_token: term,
+                fencing_token: token.to_wire(TokenFormat::in_use(&view)),
                 session: None,
                 commands,
             },
         )
     }
 
-    /// Applies a heartbeat that will be answered, and returns the commands for the answer.
+    /// Applies a heartbeat that will be answered, and returns the content of the answer.
     fn apply_periodic(
         &self,
         view: &ClusterState,
@@ -94,7 +106,7 @@
         term: u64,
         heartbeat: &Heartbeat,
         now: Micros,
-    ) -> (HeartbeatOutcome, Vec<Command>) {
+    ) -> PeriodicAnswer {
         let mut machines = self.workers.machines.borrow_mut();
         let worker = machines
             .entry(machine.clone())
@@ -111,12 +123,20 @@
         let needs_commands =
             newer && (!worker.outstanding.quiescent || view.changed_machines.contains(machine));
         if !needs_commands {
-            return (outcome, Vec::new());
+            return PeriodicAnswer {
+                outcome,
+                token: worker.token(),
+                commands: Vec::new(),
+            };
         }
         let mut due = commands(view, machine, worker, CommandChannel::HeartbeatAnswer);
-        worker.outstanding.quiescent = due.is_empty();
+        worker.outstanding.quiescent = due.is_empty() && !worker.has_withheld_commands();
         due.truncate(MAX_COMMANDS_PER_MESSAGE);
-        (outcome, due)
+        PeriodicAnswer {
+            outcome,
+            token: worker.token(),
+            commands: due,
+        }
     }
 
     /// Redirects a worker to the owner of its shard, or answers 503 if the owner is unknown.
@@ -127,8 +147,8 @@
         heartbeat: &Heartbeat,
         now: Micros,
     ) -> Response {
-        let Some(target) = redirect_target(view, self.node_name(), shard, heartbeat.fencing_token)
-        else {
+        let token = FencingToken::from_wire(heartbeat.fencing_token);
+        let Some(target) = redirect_target(view, self.node_name(), shard, token) else {
             return Response::status(503);
         };
         self.workers
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -5,13 +5,15 @@
 //! contact alone never proves that a task has ended.
 //!
 //! Modules with pure decisions, which take a [`WorkerState`] and the current time as arguments:
-//! `heartbeat`, `commands`, `reconcile`, `liveness`, `inbound_partition`, `backoff`. Modules with the
+//! `heartbeat`, `commands`, `direct_starts`, `fencing_token`, `reconcile`, `liveness`, `inbound_partition`, `backoff`. Modules with the
 //! steps of the controller's loops that apply them: `heartbeat_handler`, `registry`,
 //! `command_dispatch`, `probing`, `machine_records`.
 
 mod backoff;
 mod command_dispatch;
 mod commands;
+mod direct_starts;
+mod fencing_token;
 mod heartbeat;
 mod heartbeat_handler;
 mod inbound_partition;
@@ -25,6 +27,7 @@
 
 pub use backoff::quarantined;
 pub use commands::{CommandChannel, commands};
+pub use fencing_token::{FencingToken, TokenFormat};
 pub use heartbeat::{HeartbeatOutcome, HeartbeatSource};
 pub use heartbeat_handler::redirect_target;
 pub use inbound_partition::{
--- a/src/workers/reconcile.rs
+++ b/src/workers/reconcile.rs
@@ -94,7 +94,7 @@
         let outstanding = &self.outstanding;
         self.fenced()
             && self.tasks.get(key).is_none_or(|o| o.attempt != attempt)
-            && !outstanding.unacknowledged_starts.contains(&start)
+            && !outstanding.direct_starts.contains(&start)
             // A start in the answer to a heartbeat is executed before the next heartbeat or never.
             && outstanding
                 .starts_in_response
--- a/src/workers/registry.rs
+++ b/src/workers/registry.rs
@@ -5,6 +5,7 @@
 //! only while this controller owns the machine's shard, under the same term as the shard.
 
 use super::backoff::BackoffState;
+use super::fencing_token::TokenFormat;
 use super::worker_state::WorkerState;
 use crate::controller::Controller;
 use crate::ids::MachineId;
@@ -22,6 +23,9 @@
 /// Time after the last failed call at which the term is raised to make a blocking unacknowledged direct
 /// start impossible. Most starts are acknowledged by then.
 const RAISE_TERM_DELAY: Micros = 3 * SECOND;
+/// Shortest time between two raises of a term because of attempts that cannot be forgotten. Each raise makes every
+/// machine of the shard confirm a new token.
+const MIN_TERM_DURATION: Micros = 10 * SECOND;
 /// Time for which redirects are kept.
 const REDIRECT_RETENTION: Micros = 15 * SECOND;
 /// Maximum age of the last of several redirects at which a worker counts as having come back.
@@ -145,7 +149,7 @@
         self.remove_unowned_machines(&mut machines, view, terms, now);
         self.add_missing_machines(&mut machines, view, terms, now);
         self.update_probe_interval(&machines, view);
-        self.raise_terms_of_blocked_machines(&machines, now);
+        self.raise_terms_of_blocked_machines(&machines, view, now);
         let mut job_backoffs = self.workers.job_backoffs.borrow_mut();
         job_backoffs.retain(|job, _| view.jobs.contains_key(job));
         let mut durations = self.workers.task_durations.borrow_mut();
@@ -198,19 +202,52 @@
         }
     }
 
-    /// Requests a higher term for the shards of machines that are in contact while an unacknowledged
-    /// start blocks an attempt, because only a higher term makes such a start impossible.
+    /// Requests a higher term for the shards of machines that are in contact while a direct start that may
+    /// still be executed blocks an attempt, and only a higher term makes the start impossible.
     fn raise_terms_of_blocked_machines(
         &self,
         machines: &BTreeMap<MachineId, WorkerState>,
+        view: &ClusterState,
         now: Micros,
     ) {
-        let blocked = machines.iter().filter(|(_, worker)| {
-            worker.blocked_by_unacknowledged_start()
-                && worker.time_since_contact(now) < self.settings.heartbeat_interval * 2
-                && now.saturating_sub(worker.probes.last_failed_at) > RAISE_TERM_DELAY
+        let blocked = machines.iter().filter(|(id, worker)| {
+            worker.time_since_contact(now) < self.settings.heartbeat_interval * 2
+                && (self.needs_term_for_unacknowledged_start(worker, view, now)
+                    || needs_term_for_retained_attempts(view, id, worker, now))
         });
         self.membership
             .set_pending_term_increments(blocked.map(|(id, _)| shard_of(id)));
     }
+
+    /// Returns whether an unacknowledged start blocks an attempt, and no answer to a heartbeat raises the token
+    /// of the machine.
+    fn needs_term_for_unacknowledged_start(
+        &self,
+        worker: &WorkerState,
+        view: &ClusterState,
+        now: Micros,
+    ) -> bool {
+        let token_is_raised = TokenFormat::in_use(view) == TokenFormat::TermAndIncrements
+            && now.saturating_sub(worker.heartbeat.last_heartbeat_at)
+                < self.settings.heartbeat_interval * 2;
+        !token_is_raised
+            && now.saturating_sub(worker.probes.last_failed_at) > RAISE_TERM_DELAY
+            && worker.blocked_by_unacknowledged_start()
+    }
+}
+
+/// Returns whether exited attempts that cannot be forgotten block a machine, and answers to heartbeats cannot raise
+/// its token because controllers of earlier versions may run.
+fn needs_term_for_retained_attempts(
+    view: &ClusterState,
+    machine: &MachineId,
+    worker: &WorkerState,
+    now: Micros,
+) -> bool {
+    let fenced_at = worker.heartbeat.fenced_at.unwrap_or(now);
+    let no_tasks = BTreeMap::new();
+    let placed = view.tasks_on(machine).unwrap_or(&no_tasks);
+    TokenFormat::in_use(view) == TokenFormat::Term
+        && now.saturating_sub(fenced_at) > MIN_TERM_DURATION
+        && worker.blocked_by_retained_attempts(placed)
 }
--- a/src/workers/worker_state.rs
+++ b/src/workers/worker_state.rs
@@ -4,6 +4,8 @@
 //! of the shard; a new term starts with a new state. `heartbeat` changes it when a message arrives,
 //! `liveness` when a call fails, `commands` and `command_dispatch` when commands are sent.
 
+use super::direct_starts::DirectStarts;
+use super::fencing_token::FencingToken;
 use crate::jobs::model::JobId;
 use crate::time::Micros;
 use crate::wire::worker::{Command, ExitReason, TaskStatus};
@@ -59,8 +61,8 @@
     /// Sequence number of the newest periodic heartbeat (not of a reply to a direct call).
     pub heartbeat_sequence: u64,
     /// Highest fencing token that the worker has reported.
-    pub fencing_token: u64,
-    /// Time at which the worker first reported this term's token in its session.
+    pub fencing_token: FencingToken,
+    /// Time at which the worker first reported a token of this term in its session.
     pub fenced_at: Option<Micros>,
     /// Time of the last message of any kind; until the first one, start of this term.
     pub last_contact_at: Micros,
@@ -101,8 +103,8 @@
 pub struct OutstandingCommands {
     /// Starts sent in the answer to a heartbeat, with that heartbeat's sequence number.
     pub(super) starts_in_response: HashMap<TaskAttempt, u64>,
-    /// Direct starts that were not acknowledged; each may still be executed at any time.
-    pub(super) unacknowledged_starts: HashSet<TaskAttempt>,
+    /// Direct starts that the worker may still execute.
+    pub(super) direct_starts: DirectStarts,
     /// Direct commands sent recently, with the times at which they were sent.
     pub(super) recent_commands: Vec<(Micros, Command)>,
     /// Whether a direct call is in flight.
@@ -138,8 +140,10 @@
 /// State of a worker under one term of its machine's shard.
 #[derive(Debug)]
 pub struct WorkerState {
-    /// Term of the machine's shard, which is the owner's fencing token.
+    /// Term of the machine's shard.
     pub term: u64,
+    /// Number of times the machine's fencing token was raised within the term.
+    pub(super) token_increments: u64,
     /// Session (agent incarnation) of the newest message; 0 until the first.
     pub session: u64,
     /// Tasks in the newest message, by job and index.
@@ -164,6 +168,7 @@
     pub fn new(term: u64, now: Micros) -> WorkerState {
         WorkerState {
             term,
+            token_increments: 0,
             session: 0,
             tasks: BTreeMap::new(),
             invalid_task_count: 0,
@@ -178,10 +183,23 @@
         }
     }
 
-    /// Returns whether the worker has confirmed this term's token, so that it refuses commands of
+    /// Returns the fencing token of the messages to the worker.
+    pub fn token(&self) -> FencingToken {
+        FencingToken {
+            term: self.term,
+            increments: self.token_increments,
+        }
+    }
+
+    /// Returns the number of direct starts that the worker may still execute.
+    pub fn possible_direct_starts(&self) -> usize {
+        self.outstanding.direct_starts.len()
+    }
+
+    /// Returns whether the worker has confirmed a token of this term, so that it refuses commands of
     /// earlier owners.
     pub fn fenced(&self) -> bool {
-        self.heartbeat.fencing_token == self.term && self.heartbeat.fenced_at.is_some()
+        self.heartbeat.fencing_token.term == self.term && self.heartbeat.fenced_at.is_some()
     }
 
     /// Returns the time since the last message.
@@ -195,7 +213,7 @@
         HeartbeatHistory {
             sequence: 0,
             heartbeat_sequence: 0,
-            fencing_token: 0,
+            fencing_token: FencingToken::default(),
             fenced_at: None,
             last_contact_at: now,
             last_heartbeat_at: now,
@@ -223,7 +241,7 @@
     fn new() -> OutstandingCommands {
         OutstandingCommands {
             starts_in_response: HashMap::new(),
-            unacknowledged_starts: HashSet::new(),
+            direct_starts: DirectStarts::default(),
             recent_commands: Vec::new(),
             in_flight: false,
             not_before: 0,
--- a/tests/invariants/controllers.rs
+++ b/tests/invariants/controllers.rs
@@ -9,15 +9,26 @@
 use coppergw::jobs::model::{Placement, Resources};
 use coppergw::membership::{Member, SHARD_COUNT, Shard, assign_shards, shard_of};
 use coppergw::scheduling::{SchedulableMachine, SchedulingInput, schedule};
+use coppergw::store::cluster_state::ClusterState;
 use coppergw::store::keys;
 use coppergw::time::SECOND;
 use coppergw::wire::state::{Mutation, Precondition, Transaction};
 use coppergw::wire::to_value;
 use coppergw::wire::worker::{Command, Heartbeat};
 use coppergw::workers::{
-    CommandChannel, HeartbeatSource, WorkerState, commands, may_answer_heartbeats, reconcile,
+    CommandChannel, FencingToken, HeartbeatSource, TokenFormat, WorkerState, commands,
+    may_answer_heartbeats, reconcile,
 };
 use foldhash::{HashMap, HashMapExt, HashSet, HashSetExt};
+use std::collections::BTreeMap;
+
+/// Returns whether a direct start blocks a machine, and no answer to a heartbeat raises its token.
+fn needs_term(view: &ClusterState, id: &MachineId, worker: &WorkerState) -> bool {
+    let no_tasks = BTreeMap::new();
+    let placed = view.tasks_on(id).unwrap_or(&no_tasks);
+    TokenFormat::in_use(view) == TokenFormat::Term
+        && (worker.blocked_by_unacknowledged_start() || worker.blocked_by_retained_attempts(placed))
+}
 
 impl World {
     /// Applies all changes in the state service to the view of a controller. A controller without a lease gets a
@@ -69,12 +80,11 @@
             let is_owner = current.is_some_and(|shard| {
                 shard.owner == controller.name && shard.lease == controller.lease
             });
-            let blocked_by_unacknowledged_start =
-                controller.machines.iter().any(|(id, machine)| {
-                    shard_of(id) == shard && machine.blocked_by_unacknowledged_start()
-                });
+            let blocked_by_direct_start = controller.machines.iter().any(|(id, machine)| {
+                shard_of(id) == shard && needs_term(&controller.view, id, machine)
+            });
             if assigned.get(&shard) == Some(&controller.name)
-                && (!is_owner || blocked_by_unacknowledged_start)
+                && (!is_owner || blocked_by_direct_start)
             {
                 let key = keys::shard(shard);
                 transaction.preconditions.push(Precondition {
@@ -318,7 +328,7 @@
     ) -> Option<(u64, Vec<Command>)> {
         let id: MachineId = heartbeat.machine.as_str().into();
         let term = self.term(controller_index, shard_of(&id))?;
-        if heartbeat.fencing_token > term
+        if FencingToken::from_wire(heartbeat.fencing_token).term > term
             || !may_answer_heartbeats(
                 LEASE_DURATION,
                 CANCEL_TIMEOUT,
@@ -351,7 +361,10 @@
         } else {
             Vec::new()
         };
+        let token = worker
+            .token()
+            .to_wire(TokenFormat::in_use(&controller.view));
         assert_no_cancelled_start(&self.controllers[controller_index].view, &batch);
-        Some((term, batch))
+        Some((token, batch))
     }
 }
--- a/tests/invariants/events.rs
+++ b/tests/invariants/events.rs
@@ -160,15 +160,15 @@
             DelayedMessage::Transaction(transaction) => {
                 self.store.apply(&transaction);
             }
-            DelayedMessage::CommandBatch(worker_index, term, session, batch) => {
+            DelayedMessage::CommandBatch(worker_index, token, session, batch) => {
                 match self.workers[worker_index].hung {
                     true => self.delayed.push(DelayedMessage::CommandBatch(
                         worker_index,
-                        term,
+                        token,
                         session,
                         batch,
                     )),
-                    false => self.deliver_commands(worker_index, term, session, &batch),
+                    false => self.deliver_commands(worker_index, token, session, &batch),
                 }
             }
             DelayedMessage::Heartbeat(controller_index, heartbeat) => {
@@ -177,6 +177,18 @@
         }
     }
 
+    /// Delivers each direct call that is on its way to a machine that does not hang. The calls remain on their way.
+    pub(crate) fn deliver_copies(&mut self) {
+        for message in self.delayed.clone() {
+            let DelayedMessage::CommandBatch(worker_index, token, session, batch) = message else {
+                continue;
+            };
+            if !self.workers[worker_index].hung {
+                self.deliver_commands(worker_index, token, session, &batch);
+            }
+        }
+    }
+
     /// Ends all failures, cancels services, and runs until each job that can finish has finished.
     pub(crate) fn settle(&mut self) {
         self.delayed.clear();
--- a/tests/invariants/repeated_starts.rs
+++ b/tests/invariants/repeated_starts.rs
@@ -6,20 +6,24 @@
 use crate::place_service;
 use crate::workers::ANSWERED_AND_REPEATED;
 use crate::world::{
-    CANCEL_TIMEOUT, CONTROLLER_COUNT, DelayedMessage, SimulatedController, World, machine_record,
+    CANCEL_TIMEOUT, CONTROLLER_COUNT, LEASE_DURATION, SimulatedController, World, machine_record,
 };
 use coppergw::autoscaler::model::MachineState;
-use coppergw::membership::{LAYOUT_VERSION, LayoutVersion, shard_of};
+use coppergw::membership::shard_of;
 use coppergw::store::cluster_state::ClusterState;
 use coppergw::store::keys;
 use coppergw::time::SECOND;
+use coppergw::wire::state::{Mutation, Transaction};
 use coppergw::wire::worker::{ExitReason, TaskStatus};
+use proptest::prelude::*;
 use std::collections::BTreeMap;
 
 /// Name of the task of the service.
 const TASK: &str = "req-1/0";
 /// Rounds after which a task that can move has moved, and every command has arrived.
 const ROUNDS: usize = 12;
+/// Average number of generated steps after which all copies arrive.
+const STEPS_PER_REDELIVERY: u8 = 4;
 
 /// Time at which the layout of this version comes into force, relative to the direct start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -40,6 +44,8 @@
     world: World,
     owner: usize,
     machine: usize,
+    /// Outcome of each further direct call.
+    direct_call_outcome: u8,
 }
 
 /// Outcome of a direct call that is executed and answered, and never repeated, modulo 4.
@@ -49,19 +55,20 @@
     fn new(layout: LayoutInForce) -> Scenario {
         let mut world = World::new();
         if layout == LayoutInForce::Before {
-            put_layout(&mut world);
+            world.put_layout();
         }
         let (owner, machine) = place_service(&mut world);
         world.send_direct_call(owner, machine, ANSWERED_AND_REPEATED);
         assert_eq!(world.workers[machine].tasks[TASK].attempt, 1);
         assert_eq!(world.delayed.len(), 1, "the copy should be on its way");
         if layout == LayoutInForce::After {
-            put_layout(&mut world);
+            world.put_layout();
         }
         Scenario {
             world,
             owner,
             machine,
+            direct_call_outcome: ANSWERED,
         }
     }
 
@@ -89,6 +96,15 @@
         };
     }
 
+    /// Lets the lease of a controller expire, which goes on without noticing it.
+    fn expire_member_lease(&mut self, controller_index: usize) {
+        let key = keys::member(&self.world.controllers[controller_index].name);
+        self.world.store.apply(&Transaction {
+            preconditions: vec![],
+            mutations: vec![Mutation::Delete { key }],
+        });
+    }
+
     /// Runs rounds of all controllers and workers; the copies arrive after each step.
     fn run(&mut self, rounds: usize) {
         for _ in 0..rounds {
@@ -96,10 +112,10 @@
                 self.world.sync(controller_index);
                 self.world.claim_shards(controller_index);
                 self.world.sync(controller_index);
-                self.deliver_copies();
+                self.world.deliver_copies();
                 self.world.reconcile_pass(controller_index, 1);
                 self.world.sync(controller_index);
-                self.deliver_copies();
+                self.world.deliver_copies();
             }
             for worker_index in 0..self.world.workers.len() {
                 self.exchange_messages(worker_index);
@@ -116,23 +132,11 @@
         let Some(owner) = owner else {
             return;
         };
-        self.world.send_direct_call(owner, worker_index, ANSWERED);
-        self.deliver_copies();
+        self.world
+            .send_direct_call(owner, worker_index, self.direct_call_outcome);
+        self.world.deliver_copies();
         self.world.exchange_heartbeat(worker_index, owner, 2);
-        self.deliver_copies();
-    }
-
-    /// Delivers each copy once more. It remains on its way.
-    fn deliver_copies(&mut self) {
-        for message in self.world.delayed.clone() {
-            let DelayedMessage::CommandBatch(worker_index, token, session, batch) = message else {
-                continue;
-            };
-            if !self.world.workers[worker_index].hung {
-                self.world
-                    .deliver_commands(worker_index, token, session, &batch);
-            }
-        }
+        self.world.deliver_copies();
     }
 
     /// Returns the number of machines on which the task has not exited.
@@ -160,13 +164,6 @@
     }
 }
 
-fn put_layout(world: &mut World) {
-    let layout = LayoutVersion {
-        layout_version: LAYOUT_VERSION,
-    };
-    world.store.put(keys::LAYOUT.into(), &layout);
-}
-
 #[test]
 fn copy_of_an_answered_start_does_not_run_a_moved_task_twice() {
     for layout in LAYOUTS {
@@ -190,6 +187,18 @@
     }
 }
 
+#[test]
+fn copy_of_an_answered_start_does_not_run_a_done_task() {
+    for layout in LAYOUTS {
+        let mut scenario = Scenario::new(layout);
+        scenario.world.complete(TASK, 1);
+        scenario.run(ROUNDS);
+        assert_eq!(scenario.running_count(), 0);
+        scenario.assert_forgotten(layout);
+        assert_eq!(scenario.world.finished_jobs.get("req-1"), Some(&true));
+    }
+}
+
 #[test]
 fn copy_of_an_answered_start_does_not_run_a_task_twice_when_its_controller_is_back_at_once() {
     for layout in LAYOUTS {
@@ -198,10 +207,94 @@
             scenario.fail_task();
             scenario.run(rounds_before_restart);
             scenario.restart_controller(scenario.owner);
-            scenario.deliver_copies();
+            scenario.world.deliver_copies();
+            scenario.run(ROUNDS);
+            scenario.assert_moved();
+            scenario.assert_forgotten(layout);
+        }
+    }
+}
+
+#[test]
+fn copy_of_an_answered_start_does_not_run_a_task_twice_under_a_new_owner() {
+    for layout in LAYOUTS {
+        for rounds_before_takeover in 0..4 {
+            let mut scenario = Scenario::new(layout);
+            scenario.fail_task();
+            scenario.run(rounds_before_takeover);
+            scenario.expire_member_lease(scenario.owner);
+            scenario.run(ROUNDS);
+            scenario.assert_moved();
+            scenario.assert_forgotten(layout);
+        }
+    }
+}
+
+#[test]
+fn copy_of_an_answered_start_does_not_run_a_task_twice_after_a_hang_or_a_new_session() {
+    let lease_s = LEASE_DURATION / SECOND;
+    for layout in LAYOUTS {
+        for hang_s in [1, lease_s / 2, lease_s + 2] {
+            let mut scenario = Scenario::new(layout);
+            scenario.fail_task();
+            scenario.run(1);
+            scenario.world.workers[scenario.machine].hung = true;
+            scenario.run(hang_s as usize);
+            scenario.world.workers[scenario.machine].hung = false;
+            scenario.world.deliver_copies();
             scenario.run(ROUNDS);
             scenario.assert_moved();
             scenario.assert_forgotten(layout);
         }
     }
 }
+
+#[test]
+fn copies_of_answered_starts_do_not_run_tasks_twice_when_several_machines_fail_them() {
+    for layout in LAYOUTS {
+        let mut scenario = Scenario::new(layout);
+        scenario.direct_call_outcome = ANSWERED_AND_REPEATED;
+        for _ in 0..4 {
+            for worker in &mut scenario.world.workers {
+                let tasks = worker.tasks.values_mut();
+                tasks
+                    .filter(|task| task.status == TaskStatus::Running)
+                    .for_each(|task| task.exit(ExitReason::Error));
+            }
+            scenario.run(3);
+        }
+        scenario.run(ROUNDS);
+        assert_eq!(scenario.running_count(), 1);
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 150,
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(60),
+        max_shrink_iters: 60,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn safety_rules_hold_when_copies_of_all_answered_calls_arrive(
+        steps in proptest::collection::vec(any::<(u8, u8, u8)>(), 100..900),
+        layout_step in 0_usize..900,
+    ) {
+        let mut world = World::new();
+        world.repeats_answered_calls = true;
+        for (number, (operation, selector, argument)) in steps.into_iter().enumerate() {
+            if number == layout_step {
+                world.put_layout();
+            }
+            world.step(operation, selector, argument);
+            if argument.is_multiple_of(STEPS_PER_REDELIVERY) {
+                world.deliver_copies();
+            }
+        }
+        world.settle();
+        let unfinished = world.store.keys.keys().find(|key| key.starts_with("c/job/"));
+        prop_assert!(unfinished.is_none(), "{unfinished:?} is unfinished");
+    }
+}
--- a/tests/invariants/workers.rs
+++ b/tests/invariants/workers.rs
@@ -6,7 +6,7 @@
     is_gang,
 };
 use coppergw::wire::worker::{Command, ExitReason, Heartbeat, ReportedTask, TaskStatus};
-use coppergw::workers::{CommandChannel, HeartbeatSource, commands};
+use coppergw::workers::{CommandChannel, HeartbeatSource, TokenFormat, commands};
 use foldhash::{HashMap, HashMapExt};
 
 /// Outcome of a direct call that is executed and answered, and whose copy arrives later, modulo 4.
@@ -230,7 +230,9 @@
             Vec::new()
         };
         worker.record_direct_starts(&batch);
-        let term = worker.term;
+        let token = worker
+            .token()
+            .to_wire(TokenFormat::in_use(&controller.view));
         assert_no_cancelled_start(&self.controllers[controller_index].view, &batch);
         if self.workers[worker_index].outbound_partition {
             return;
@@ -241,18 +243,22 @@
         {
             self.delayed.push(DelayedMessage::CommandBatch(
                 worker_index,
-                term,
+                token,
                 session,
                 batch,
             ));
             return;
         }
-        self.deliver_commands(worker_index, term, session, &batch);
+        self.deliver_commands(worker_index, token, session, &batch);
         if outcome % 4 == 1 {
             return; // The commands are executed, but the reply is lost.
         }
-        if outcome % 4 == ANSWERED_AND_REPEATED {
-            let copy = DelayedMessage::CommandBatch(worker_index, term, session, batch.clone());
+        let has_start = batch
+            .iter()
+            .any(|command| matches!(command, Command::Start { .. }));
+        let is_repeated = outcome % 4 == ANSWERED_AND_REPEATED || self.repeats_answered_calls;
+        if has_start && is_repeated {
+            let copy = DelayedMessage::CommandBatch(worker_index, token, session, batch.clone());
             self.delayed.push(copy);
         }
         let reply = self.heartbeat(worker_index);
@@ -267,15 +273,15 @@
     pub(crate) fn deliver_commands(
         &mut self,
         worker_index: usize,
-        term: u64,
+        token: u64,
         session: u64,
         batch: &[Command],
     ) {
         let worker = &mut self.workers[worker_index];
-        if !worker.alive || term < worker.token || session != worker.session {
+        if !worker.alive || token < worker.token || session != worker.session {
             return;
         }
-        worker.token = term;
+        worker.token = token;
         self.execute(worker_index, batch);
     }
 }
--- a/tests/invariants/world.rs
+++ b/tests/invariants/world.rs
@@ -4,6 +4,7 @@
 use coppergw::autoscaler::model::{MachineRecord, MachineState};
 use coppergw::ids::MachineId;
 use coppergw::jobs::model::{JobRecord, JobSpec};
+use coppergw::membership::{LAYOUT_VERSION, LayoutVersion};
 use coppergw::store::cluster_state::ClusterState;
 use coppergw::store::keys;
 use coppergw::time::{Micros, SECOND};
@@ -95,6 +96,8 @@
     pub(crate) started_gang_tasks: u32,
     /// Attempts that a worker has started, by task and attempt.
     pub(crate) started_attempts: HashSet<(String, u64)>,
+    /// Whether a copy of each direct call arrives after its reply.
+    pub(crate) repeats_answered_calls: bool,
 }
 
 pub(crate) fn machine_type() -> MachineType {
@@ -142,6 +145,7 @@
             cancelled_at: HashMap::new(),
             started_gang_tasks: 0,
             started_attempts: HashSet::new(),
+            repeats_answered_calls: false,
         };
         world
             .store
@@ -196,6 +200,14 @@
         }
     }
 
+    /// Puts the layout of this version into force, as once every controller supports it.
+    pub(crate) fn put_layout(&mut self) {
+        let layout = LayoutVersion {
+            layout_version: LAYOUT_VERSION,
+        };
+        self.store.put(keys::LAYOUT.into(), &layout);
+    }
+
     /// Cancels a job and confirms it to its user at once.
     pub(crate) fn cancel(&mut self, job: &str) {
         let (value, _) = &self.store.keys[&keys::job(job)];
