--- a/src/cli/arguments.rs
+++ b/src/cli/arguments.rs
@@ -100,8 +100,10 @@
     /// Shards with their owners and terms.
     #[value(alias = "parts")]
     Shards,
-    /// Machines and the number of tasks on each.
+    /// Machines, the number of tasks on each, and the fencing tokens of those that the controller owns.
     Machines,
+    /// Numbers of commands to workers and of unexpected reports.
+    Commands,
     /// Task counts and priority boosts of the fairness rounds.
     Fairness,
     /// Versions of the controllers and the layout of stored values.
@@ -124,6 +126,7 @@
             InspectTopic::Members => "/inspect/members",
             InspectTopic::Shards => "/inspect/parts",
             InspectTopic::Machines => "/inspect/machines",
+            InspectTopic::Commands => "/inspect/commands",
             InspectTopic::Fairness => "/inspect/fairness",
             InspectTopic::Layout => "/inspect/layout",
             InspectTopic::Memory => "/inspect/memory",
--- a/src/jobs/api/inspection.rs
+++ b/src/jobs/api/inspection.rs
@@ -12,6 +12,7 @@
 use crate::wire::server::Response;
 use crate::wire::user::Priority;
 use crate::wire::worker::TaskStatus;
+use crate::workers::WorkerState;
 use foldhash::{HashMap, HashSet};
 use serde::Serialize;
 use std::cmp::Reverse;
@@ -41,6 +42,29 @@
     largest_jobs: Vec<(&'a str, usize)>,
 }
 
+/// State of a worker in `inspect machines`, as known to the owner of its shard.
+#[derive(Serialize)]
+struct WorkerReport {
+    /// Fencing token of the messages to the worker: term and increments.
+    token: String,
+    /// Highest token that the worker has reported.
+    reported_token: String,
+    session: u64,
+    /// Number of direct starts that the worker may still execute.
+    possible_direct_starts: usize,
+}
+
+impl WorkerReport {
+    fn new(worker: &WorkerState) -> WorkerReport {
+        WorkerReport {
+            token: worker.token().to_string(),
+            reported_token: worker.heartbeat.fencing_token.to_string(),
+            session: worker.session,
+            possible_direct_starts: worker.possible_direct_starts(),
+        }
+    }
+}
+
 impl Controller {
     /// Handles an operator's request.
     pub fn handle_inspection_request(&self, path: &str) -> Response {
@@ -54,7 +78,8 @@
         match path {
             "/inspect/members" => Response::with_body(200, &(&view.members, &view.leader)),
             "/inspect/parts" => Response::with_body(200, &view.shards),
-            "/inspect/machines" => inspect_machines(&view),
+            "/inspect/machines" => self.inspect_machines(&view),
+            "/inspect/commands" => Response::with_body(200, self.workers.counters()),
             "/inspect/layout" => Response::with_body(200, &(&view.versions, &view.layout)),
             "/inspect/memory" => self.inspect_memory(&view),
             "/inspect/pipelines" => inspect_pipelines(&view),
@@ -141,6 +166,23 @@
         }
     }
 
+    /// Returns the machines, each with the number of tasks on it and, if this controller owns its shard, the state
+    /// of its worker.
+    fn inspect_machines(&self, view: &ClusterState) -> Response {
+        let workers = self.workers.machines();
+        let machines: BTreeMap<&str, _> = view
+            .machines
+            .iter()
+            .map(|(id, record)| {
+                let task_count = view.tasks_on(id).map_or(0, |tasks| tasks.len());
+                let worker = workers.get(id).map(WorkerReport::new);
+                let id: &MachineId = id;
+                (&**id, (record, task_count, worker))
+            })
+            .collect();
+        Response::with_body(200, &machines)
+    }
+
     /// Returns the number of tasks of each job that fetch their image on the machines of this controller's
     /// shards.
     fn fetching_tasks(&self) -> HashMap<JobId, u32> {
@@ -155,20 +197,6 @@
     }
 }
 
-/// Returns the machines, each with the number of tasks on it.
-fn inspect_machines(view: &ClusterState) -> Response {
-    let machines: BTreeMap<&str, _> = view
-        .machines
-        .iter()
-        .map(|(id, record)| {
-            let task_count = view.tasks_on(id).map_or(0, |tasks| tasks.len());
-            let id: &MachineId = id;
-            (&**id, (record, task_count))
-        })
-        .collect();
-    Response::with_body(200, &machines)
-}
-
 /// Returns the unfinished jobs that have dependencies.
 fn inspect_pipelines(view: &ClusterState) -> Response {
     let jobs: BTreeMap<&str, _> = view
--- a/src/membership/leader_election.rs
+++ b/src/membership/leader_election.rs
@@ -74,7 +74,7 @@
     /// successful write it acts as the leader only once a linearizable read has returned everything that
     /// the previous leader wrote.
     pub async fn acquire_leadership(&self) -> bool {
-        let claim = {
+        let (claim, lease) = {
             let Some(incarnation) = self.incarnation() else {
                 return false;
             };
@@ -83,12 +83,12 @@
             match leader_status(&view, &live_members, incarnation, wall_clock_now()) {
                 LeaderStatus::Leading => return true,
                 LeaderStatus::Following => return false,
-                LeaderStatus::NoLeader(claim) => claim,
+                LeaderStatus::NoLeader(claim) => (claim, incarnation.lease),
             }
         };
         match self.watch_cache.transaction(&claim).await {
             TransactionOutcome::Committed(_) => {
-                tracing::info!("became leader");
+                tracing::info!(lease, "became leader");
                 self.watch_cache.linearizable_read().await
             }
             _ => {
--- a/src/membership/shard_ownership.rs
+++ b/src/membership/shard_ownership.rs
@@ -126,9 +126,11 @@
             };
             match self.watch_cache.transaction(&claim).await {
                 TransactionOutcome::Committed(_) => {
-                    tracing::info!(shards = claim.mutations.len(), "shards claimed");
                     // The new term is usable only once all earlier writes are in the view.
                     self.watch_cache.linearizable_read().await;
+                    let shards = claim.mutations.len();
+                    let terms = self.owned_terms();
+                    tracing::info!(shards, terms, "shards claimed");
                 }
                 _ => {
                     self.watch_cache.linearizable_read().await;
@@ -138,6 +140,16 @@
         }
     }
 
+    /// Returns the shards that this controller owns with their terms, as text.
+    fn owned_terms(&self) -> String {
+        let view = self.watch_cache.view();
+        let owned = (0..SHARD_COUNT).filter_map(|shard| {
+            let term = self.term(&view, shard)?;
+            Some(format!("{shard}:{term}"))
+        });
+        owned.collect::<Vec<String>>().join(" ")
+    }
+
     /// Returns the write that claims the shards currently assigned to this controller, if any.
     fn shard_claim_transaction(&self) -> Option<Transaction> {
         let incarnation = self.incarnation()?;
--- a/src/workers/backoff.rs
+++ b/src/workers/backoff.rs
@@ -85,6 +85,9 @@
         outcome: HeartbeatOutcome,
         now: Micros,
     ) {
+        self.workers
+            .counters
+            .record_reappeared(machine, &outcome.reappeared);
         if !outcome.finished.is_empty() {
             let mut durations = self.workers.task_durations.borrow_mut();
             let mut job_backoffs = self.workers.job_backoffs.borrow_mut();
--- a/src/workers/command_dispatch.rs
+++ b/src/workers/command_dispatch.rs
@@ -4,6 +4,7 @@
 //! fencing token of this controller to the worker, and the reply confirms that the machine is alive. A
 //! start may still be executed at any time, with or without a reply (`direct_starts`).
 
+use super::command_log::SentCommands;
 use super::commands::{CommandChannel, commands};
 use super::fencing_token::{FencingToken, TokenFormat};
 use super::heartbeat::{HeartbeatOutcome, HeartbeatSource};
@@ -108,6 +109,13 @@
                 continue;
             }
             calls_left -= 1;
+            self.workers.counters.record_sent(&SentCommands {
+                view: &view,
+                machine: id,
+                worker,
+                channel: CommandChannel::Direct,
+                commands: &call.commands,
+            });
             self.send(worker, call, now);
         }
     }
@@ -287,6 +295,8 @@
             return None;
         };
         if reply.status == 409 {
+            let counters = &self.workers.counters;
+            counters.record_refused(call.token, call.session, &message);
             record_refusal(worker, call, &message, now);
         }
         worker.acknowledge_direct_commands(&call.commands);
--- a/src/workers/commands.rs
+++ b/src/workers/commands.rs
@@ -165,11 +165,16 @@
         let Command::Start { task, attempt } = command else {
             return None;
         };
-        let (job, index) = parse_task(task)?;
-        Some((job.into(), index, *attempt as u32))
+        task_attempt(task, *attempt)
     })
 }
 
+/// Returns the attempt of a task that is named in a command.
+pub(super) fn task_attempt(task: &str, attempt: u64) -> Option<TaskAttempt> {
+    let (job, index) = parse_task(task)?;
+    Some((job.into(), index, u32::try_from(attempt).ok()?))
+}
+
 impl WorkerState {
     /// Returns whether a direct command was sent less than `interval` ago.
     pub fn recently_sent(&self, command: &Command, now: Micros, interval: Micros) -> bool {
--- a/src/workers/fencing_token.rs
+++ b/src/workers/fencing_token.rs
@@ -4,6 +4,7 @@
 //! alone in its term, so it may raise the token of a machine within the term without a write.
 
 use crate::store::cluster_state::ClusterState;
+use std::fmt;
 
 /// Number of bits of a token on the wire that hold its increments.
 const INCREMENT_BITS: u32 = 32;
@@ -71,5 +72,11 @@
     }
 }
 
+impl fmt::Display for FencingToken {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}.{}", self.term, self.increments)
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/workers/heartbeat.rs
+++ b/src/workers/heartbeat.rs
@@ -5,7 +5,9 @@
 
 use super::fencing_token::FencingToken;
 use super::task_durations::{FinishedTask, TaskDurations};
-use super::worker_state::{MachineDescription, ObservedTask, TaskFailure, WorkerState};
+use super::worker_state::{
+    MachineDescription, ObservedTask, TaskAttempt, TaskFailure, WorkerState,
+};
 use crate::jobs::model::{JobId, parse_task};
 use crate::time::{Micros, SECOND, from_secs};
 use crate::wire::worker::{ExitReason, Heartbeat, ReportedTask, TaskStatus};
@@ -33,6 +35,8 @@
     pub finished: Vec<FinishedTask>,
     /// Jobs of which a task failed.
     pub failed: Vec<JobId>,
+    /// Attempts that the worker reports again after a `Forget`.
+    pub reappeared: Vec<TaskAttempt>,
 }
 
 impl WorkerState {
@@ -80,6 +84,7 @@
         self.tasks.clear();
         self.outstanding.starts_in_response.clear();
         self.outstanding.direct_starts.clear();
+        self.outstanding.forgotten.clear();
         self.failures.counted_exits.clear();
         self.heartbeat.heartbeat_sequence = 0;
         self.heartbeat.last_answered_at = None;
@@ -152,6 +157,11 @@
             if observed.since == now {
                 outcome.changed = true;
             }
+            if self.has_reappeared(&key, observed.attempt) {
+                outcome
+                    .reappeared
+                    .push((key.0.clone(), key.1, observed.attempt));
+            }
             if observed.status == TaskStatus::Exited {
                 self.count_exit(&key, &observed, now, outcome);
             }
@@ -195,6 +205,17 @@
         Some((key, observed))
     }
 
+    /// Returns whether the worker reports an attempt again that it no longer reported after a `Forget`. `self.tasks`
+    /// still holds the tasks of the previous message.
+    fn has_reappeared(&self, key: &(JobId, u32), attempt: u32) -> bool {
+        let was_reported = self
+            .tasks
+            .get(key)
+            .is_some_and(|previous| previous.attempt == attempt);
+        let attempt = (key.0.clone(), key.1, attempt);
+        !was_reported && self.outstanding.forgotten.contains(&attempt)
+    }
+
     /// Counts the exit of an attempt once. `self.tasks` still holds the tasks of the previous message.
     fn count_exit(
         &mut self,
--- a/src/workers/heartbeat_handler.rs
+++ b/src/workers/heartbeat_handler.rs
@@ -3,6 +3,7 @@
 //! An answer renews the worker's lease and carries commands. Only the owner of the machine's shard
 //! answers, and only while its view contains all cancellations up to a recent enough time.
 
+use super::command_log::SentCommands;
 use super::commands::{CommandChannel, commands};
 use super::fencing_token::{FencingToken, TokenFormat};
 use super::heartbeat::{HeartbeatOutcome, HeartbeatSource};
@@ -129,9 +130,20 @@
                 commands: Vec::new(),
             };
         }
+        let token_before = worker.token();
         let mut due = commands(view, machine, worker, CommandChannel::HeartbeatAnswer);
         worker.outstanding.quiescent = due.is_empty() && !worker.has_withheld_commands();
         due.truncate(MAX_COMMANDS_PER_MESSAGE);
+        worker.outstanding.forgotten.record(&due);
+        let counters = &self.workers.counters;
+        counters.record_increments(token_before, worker.token());
+        counters.record_sent(&SentCommands {
+            view,
+            machine,
+            worker,
+            channel: CommandChannel::HeartbeatAnswer,
+            commands: &due,
+        });
         PeriodicAnswer {
             outcome,
             token: worker.token(),
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -11,9 +11,11 @@
 
 mod backoff;
 mod command_dispatch;
+mod command_log;
 mod commands;
 mod direct_starts;
 mod fencing_token;
+mod forgotten_attempts;
 mod heartbeat;
 mod heartbeat_handler;
 mod inbound_partition;
@@ -26,6 +28,7 @@
 mod worker_state;
 
 pub use backoff::quarantined;
+pub use command_log::CommandCounters;
 pub use commands::{CommandChannel, commands};
 pub use fencing_token::{FencingToken, TokenFormat};
 pub use heartbeat::{HeartbeatOutcome, HeartbeatSource};
--- a/src/workers/registry.rs
+++ b/src/workers/registry.rs
@@ -5,6 +5,7 @@
 //! only while this controller owns the machine's shard, under the same term as the shard.
 
 use super::backoff::BackoffState;
+use super::command_log::CommandCounters;
 use super::fencing_token::TokenFormat;
 use super::worker_state::WorkerState;
 use crate::controller::Controller;
@@ -63,6 +64,8 @@
     pub(super) last_probe_failure: Cell<Micros>,
     /// Machines that need commands, which are checked every second until they need none.
     pub(super) machines_to_check: RefCell<HashSet<MachineId>>,
+    /// Numbers of commands and of events of workers.
+    pub(super) counters: CommandCounters,
     /// Number of writes that declared machines dead, from which the unique name of each such write is
     /// formed.
     pub(super) dead_declaration_count: Cell<u64>,
@@ -74,6 +77,11 @@
         self.machines.borrow()
     }
 
+    /// Returns the numbers of commands and of events of workers since the process started.
+    pub fn counters(&self) -> &CommandCounters {
+        &self.counters
+    }
+
     /// Returns the durations of finished tasks, by job: image fetch and run.
     pub fn task_durations(&self) -> Ref<'_, HashMap<JobId, Vec<[Micros; 2]>>> {
         self.task_durations.borrow()
--- a/src/workers/worker_state.rs
+++ b/src/workers/worker_state.rs
@@ -6,6 +6,7 @@
 
 use super::direct_starts::DirectStarts;
 use super::fencing_token::FencingToken;
+use super::forgotten_attempts::ForgottenAttempts;
 use crate::jobs::model::JobId;
 use crate::time::Micros;
 use crate::wire::worker::{Command, ExitReason, TaskStatus};
@@ -105,6 +106,8 @@
     pub(super) starts_in_response: HashMap<TaskAttempt, u64>,
     /// Direct starts that the worker may still execute.
     pub(super) direct_starts: DirectStarts,
+    /// Attempts for which a `Forget` was sent.
+    pub(super) forgotten: ForgottenAttempts,
     /// Direct commands sent recently, with the times at which they were sent.
     pub(super) recent_commands: Vec<(Micros, Command)>,
     /// Whether a direct call is in flight.
@@ -242,6 +245,7 @@
         OutstandingCommands {
             starts_in_response: HashMap::new(),
             direct_starts: DirectStarts::default(),
+            forgotten: ForgottenAttempts::default(),
             recent_commands: Vec::new(),
             in_flight: false,
             not_before: 0,
