--- a/review/standin/world.py
+++ b/review/standin/world.py
@@ -16,11 +16,12 @@
 
 
 def program():
-    """The command of the deploy file, without a shell."""
+    """The command of the deploy file, without a shell. REVIEW_PROGRAM names another build of the program."""
     with open(os.path.join(ROOT, "deploy", "service.toml"), encoding="utf-8") as file:
         for line in file:
             if line.startswith("run ="):
-                return json.loads(line.split("=", 1)[1]).split()
+                command = json.loads(line.split("=", 1)[1]).split()
+                return [os.environ.get("REVIEW_PROGRAM", command[0])] + command[1:]
     raise RuntimeError("no run command")
 
 
--- /dev/null
+++ b/tests/real_processes.rs
@@ -0,0 +1,27 @@
+//! Cases of `review/` with real processes of the program on loopback. They need Python 3, and nothing but its standard
+//! library.
+
+use std::path::Path;
+use std::process::Command;
+
+/// Seed of the choices that a case makes. The processes run on the real clock.
+const SEED: &str = "60";
+/// Time for which the case submits jobs, in seconds.
+const DURATION_S: &str = "60";
+
+#[test]
+fn answered_direct_calls_that_arrive_once_more_start_nothing_again() {
+    let case = Path::new(env!("CARGO_MANIFEST_DIR")).join("review/4/case.py");
+    let output = Command::new("python3")
+        .arg(case)
+        .env("REVIEW_PROGRAM", env!("CARGO_BIN_EXE_coppergw"))
+        .env("SEED", SEED)
+        .env("DURATION_S", DURATION_S)
+        .env_remove("TROUBLE")
+        .output()
+        .expect("python3 runs the case");
+    let printed = [&output.stdout[..], &output.stderr[..]].concat();
+    let printed = String::from_utf8_lossy(&printed);
+    println!("{printed}");
+    assert!(output.status.success(), "{printed}");
+}
