--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,7 +1,8 @@
 """Answered direct calls arrive once more while machines fail their tasks, jobs are cancelled and controllers restart.
 
 DURATION_S: how long jobs are submitted. SEED: of all random choices of the case; the processes run on the real clock.
-TROUBLE=0: no call arrives a second time.
+TROUBLE=0: no call arrives a second time. EARLIER_LAYOUT=1: the settings name a controller that never starts, so that the
+layout of this version does not come into force.
 """
 
 import asyncio
@@ -14,6 +15,7 @@
 sys.path.insert(0, os.path.dirname(HERE))
 
 from standin import cbor  # noqa: E402
+from standin.http import LOOPBACK, free_ports  # noqa: E402
 from standin.machines import Cloud, Machine  # noqa: E402
 from standin.state import StateService  # noqa: E402
 from standin.world import NotRun, job, kayal, rig, run_case  # noqa: E402
@@ -174,5 +176,7 @@
 
 
 SETTINGS = kayal()
+if os.environ.get("EARLIER_LAYOUT", "0") != "0":
+    SETTINGS["absent_peers"] = {"deckhand-9": f"{LOOPBACK}:{free_ports(1)[0]}"}
 SETTINGS["workers"].update(report_s=1.0, lease_s=10.0, cancel_s=30.0)
 run_case(HERE, SETTINGS, case, LIMIT_S)
--- a/review/standin/world.py
+++ b/review/standin/world.py
@@ -34,7 +34,8 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
     world, code = None, 2
     try:
-        world = World(os.path.join(folder, "record.txt"), settings)
+        record = os.environ.get("REVIEW_RECORD", os.path.join(folder, "record.txt"))
+        world = World(record, settings)
         world.note("case", trouble=trouble, program=program())
         broken = asyncio.run(asyncio.wait_for(case(world, trouble), limit_s))
         world.note("result", broken=broken)
@@ -121,7 +122,7 @@
         zone = s["zones"][0]
         lines = [f'node_name = "{name}"', f'area = "{zone}"', f'front = "{self.fronts[name]}"',
                  f'peer_bind = "{self.peers[name]}"', ""]
-        for other, address in self.peers.items():
+        for other, address in (self.peers | s.get("absent_peers", {})).items():
             if other != name:
                 lines += ["[[siblings]]", f'node_name = "{other}"', f'area = "{zone}"',
                           f'endpoint = "{address}"', ""]
