--- a/src/autoscaler/reconciler.rs
+++ b/src/autoscaler/reconciler.rs
@@ -3,6 +3,7 @@
 //! scale-out requests and termination batches of empty machines. `LeaderState` is discarded when leadership
 //! is lost.
 
+mod cloud_requests;
 mod garbage_collection;
 mod machine_list;
 mod machine_types;
@@ -26,8 +27,6 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
-/// Timeout of a request to the cloud.
-const CLOUD_REQUEST_TIMEOUT: Micros = 5 * SECOND;
 /// Interval of the autoscaler loop.
 const LOOP_INTERVAL: Micros = SECOND / 4;
 /// Shortest interval between scaling decisions.
--- a/src/autoscaler/reconciler/machine_list.rs
+++ b/src/autoscaler/reconciler/machine_list.rs
@@ -2,7 +2,7 @@
 //! machines without a record are adopted. The list lags, and a later response may be older than an earlier
 //! one.
 
-use super::{CLOUD_REQUEST_TIMEOUT, LeaderState};
+use super::LeaderState;
 use crate::autoscaler::model::{MachineRecord, MachineState, ScaleOutRequest};
 use crate::autoscaler::put_machine;
 use crate::autoscaler::scale_out::InstanceKind;
@@ -15,7 +15,6 @@
 use crate::wire::cloud::{ListedMachine, ListedStatus, MACHINES_PATH, Page};
 use crate::wire::state::Transaction;
 use foldhash::HashMap;
-use http_types::Method;
 use std::collections::BTreeMap;
 
 /// Number of consecutive lists without a booting machine after which it is declared lost.
@@ -70,16 +69,7 @@
         let mut after = String::new();
         loop {
             let path = format!("{MACHINES_PATH}?after={after}&most=500");
-            let answer = self
-                .http
-                .call(
-                    self.settings.cloud,
-                    Method::Get,
-                    &path,
-                    None,
-                    CLOUD_REQUEST_TIMEOUT,
-                )
-                .await;
+            let answer = self.get_from_cloud(&path).await;
             let page = answer.and_then(|answer| answer.ok::<Page>())?;
             let Some(last) = page.machines.last().map(|machine| machine.id.clone()) else {
                 return Ok(list);
--- a/src/autoscaler/reconciler/machine_types.rs
+++ b/src/autoscaler/reconciler/machine_types.rs
@@ -1,26 +1,15 @@
 //! Machine types offered by the cloud, stored in the state service for all controllers.
 
-use super::CLOUD_REQUEST_TIMEOUT;
 use crate::controller::Controller;
 use crate::store::keys;
 use crate::wire::cloud::{MACHINE_TYPES_PATH, MachineType, MachineTypes};
 use crate::wire::state::{Mutation, Transaction};
 use crate::wire::{encode, json_size, to_value};
-use http_types::Method;
 
 impl Controller {
     /// Reads the cloud's machine types and writes them if they changed.
     pub(super) async fn refresh_machine_types(&self) {
-        let answer = self
-            .http
-            .call(
-                self.settings.cloud,
-                Method::Get,
-                MACHINE_TYPES_PATH,
-                None,
-                CLOUD_REQUEST_TIMEOUT,
-            )
-            .await;
+        let answer = self.get_from_cloud(MACHINE_TYPES_PATH).await;
         let answer = match answer.and_then(|answer| answer.ok::<MachineTypes>()) {
             Ok(answer) => answer,
             Err(error) => {
--- a/src/autoscaler/reconciler/scale_out_requests.rs
+++ b/src/autoscaler/reconciler/scale_out_requests.rs
@@ -2,7 +2,7 @@
 //! the cloud has answered, including requests of earlier leaders. The name makes the request idempotent: the
 //! cloud gives the same response to the same name.
 
-use super::{CLOUD_REQUEST_TIMEOUT, LeaderState};
+use super::LeaderState;
 use crate::autoscaler::model::ScaleOutRequest;
 use crate::controller::Controller;
 use crate::store::client::TransactionOutcome;
@@ -11,7 +11,6 @@
 use crate::wire::cloud::{MACHINES_PATH, MachineNames, ProvisionRequest};
 use crate::wire::state::{Mutation, Precondition, Transaction};
 use crate::wire::{encode, to_value};
-use http_types::Method;
 use std::rc::Rc;
 
 /// Maximum number of machines in one request, so that one transaction can hold preconditions on all their
@@ -136,17 +135,7 @@
             spot: request.spot,
             count: request.count,
         });
-        let cloud = self.settings.cloud;
-        let answer = self
-            .http
-            .call(
-                cloud,
-                Method::Post,
-                MACHINES_PATH,
-                Some(body),
-                CLOUD_REQUEST_TIMEOUT,
-            )
-            .await;
+        let answer = self.post_to_cloud(MACHINES_PATH, body).await;
         let Ok(answer) = answer else {
             return ProvisionOutcome::Retry;
         };
--- a/src/autoscaler/reconciler/terminations.rs
+++ b/src/autoscaler/reconciler/terminations.rs
@@ -2,7 +2,7 @@
 //! in a termination batch, and then terminated in the cloud. Only after the cloud has answered 200 are the
 //! machines and all tasks on them considered terminated.
 
-use super::{CLOUD_REQUEST_TIMEOUT, LeaderState};
+use super::LeaderState;
 use crate::autoscaler::model::{MachineRecord, MachineState, TerminationBatch};
 use crate::autoscaler::put_machine;
 use crate::autoscaler::transactions::put_termination_batch;
@@ -14,7 +14,6 @@
 use crate::wire::cloud::{MachineNames, TERMINATE_PATH};
 use crate::wire::state::{Mutation, Transaction};
 use crate::wire::{encode, to_value};
-use http_types::Method;
 use std::rc::Rc;
 
 /// Maximum number of machines that the cloud terminates for one request.
@@ -195,17 +194,7 @@
         let body = encode(&MachineNames {
             machines: ids.iter().map(|id| id.to_string()).collect(),
         });
-        let cloud = self.settings.cloud;
-        let answer = self
-            .http
-            .call(
-                cloud,
-                Method::Post,
-                TERMINATE_PATH,
-                Some(body),
-                CLOUD_REQUEST_TIMEOUT,
-            )
-            .await;
+        let answer = self.post_to_cloud(TERMINATE_PATH, body).await;
         answer.is_ok_and(|answer| answer.status == 200)
     }
 
