--- a/src/workers/command_log/tests.rs
+++ b/src/workers/command_log/tests.rs
@@ -2,29 +2,11 @@
 
 use super::super::heartbeat::{HeartbeatOutcome, HeartbeatSource};
 use super::*;
-use crate::wire::worker::{ExitReason, ReportedTask, TaskStatus};
+use crate::wire::worker::TaskStatus;
 
+/// Returns a heartbeat under term 5 that reports an attempt with this status.
 fn heartbeat(sequence: u64, reported: Option<TaskStatus>) -> Heartbeat {
-    let reason = (reported == Some(TaskStatus::Exited)).then_some(ExitReason::Error);
-    let task = reported.map(|status| ReportedTask {
-        task: "req-1/0".into(),
-        attempt: 1,
-        status,
-        reason,
-        saved: None,
-    });
-    Heartbeat {
-        machine: "m".into(),
-        address: "10.0.0.1:1".into(),
-        machine_type: "t".into(),
-        zone: "z".into(),
-        spot: false,
-        session: 1,
-        sequence,
-        fencing_token: 5,
-        preemption_notice_s: None,
-        tasks: task.into_iter().collect(),
-    }
+    super::super::tests::heartbeat(sequence, 5, reported)
 }
 
 fn receive(worker: &mut WorkerState, heartbeat: &Heartbeat) -> HeartbeatOutcome {
--- a/src/workers/direct_starts.rs
+++ b/src/workers/direct_starts.rs
@@ -190,3 +190,6 @@
         placement.session == self.session && placement.attempt == attempt
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/workers/tests.rs
+++ b/src/workers/tests.rs
@@ -5,17 +5,16 @@
 use crate::autoscaler::model::MachineState;
 use crate::ids::MachineId;
 use crate::jobs::model::{JobRecord, JobSpec, Placement, Resources, TaskBlock, TaskState};
-use crate::membership::{LAYOUT_VERSION, LayoutVersion};
 use crate::store::cluster_state::ClusterState;
 use crate::store::keys;
 use crate::time::{Micros, SECOND};
 use crate::wire::to_value;
 use crate::wire::user::JobKind;
 use crate::wire::user::Priority;
-use crate::wire::worker::{Command, ExitReason, Heartbeat, ReportedTask, TaskStatus};
+use crate::wire::worker::{ExitReason, Heartbeat, ReportedTask, TaskStatus};
 use std::collections::BTreeMap;
 
-fn view(task_state: TaskState, cancelled: bool) -> ClusterState {
+pub(in crate::workers) fn view(task_state: TaskState, cancelled: bool) -> ClusterState {
     let mut cluster = ClusterState::default();
     let spec = JobSpec {
         class: "c".into(),
@@ -44,7 +43,7 @@
     cluster
 }
 
-fn placed(attempt: u32) -> TaskState {
+pub(in crate::workers) fn placed(attempt: u32) -> TaskState {
     TaskState::Placed(Placement {
         attempt,
         machine: "m".into(),
@@ -53,7 +52,11 @@
     })
 }
 
-fn heartbeat(sequence: u64, token: u64, task: Option<TaskStatus>) -> Heartbeat {
+pub(in crate::workers) fn heartbeat(
+    sequence: u64,
+    token: u64,
+    task: Option<TaskStatus>,
+) -> Heartbeat {
     Heartbeat {
         machine: "m".into(),
         address: "10.0.0.1:1".into(),
@@ -82,13 +85,17 @@
     FencingToken::from_wire(value)
 }
 
-fn ended_attempts(cluster: &ClusterState, worker: &WorkerState, now: Micros) -> usize {
+pub(in crate::workers) fn ended_attempts(
+    cluster: &ClusterState,
+    worker: &WorkerState,
+    now: Micros,
+) -> usize {
     let mut out = Vec::new();
     reconcile(cluster, &"m".into(), worker, 18 * SECOND, now, &mut out);
     out.len()
 }
 
-fn put_machine_record(cluster: &mut ClusterState) {
+pub(in crate::workers) fn put_machine_record(cluster: &mut ClusterState) {
     let record = crate::autoscaler::model::MachineRecord {
         machine_type: "t".into(),
         zone: "z".into(),
@@ -101,138 +108,6 @@
     cluster.put(&keys::machine("m"), &to_value(&record), 3);
 }
 
-/// Returns a worker of term 5 whose task was started by a direct call and has exited, and the commands of the call.
-fn worker_with_exited_direct_start() -> (WorkerState, Vec<Command>) {
-    let cluster = view(placed(1), false);
-    let mut worker = WorkerState::new(5, 0);
-    worker.apply_heartbeat(&heartbeat(1, 5, None), HeartbeatSource::Periodic, 1);
-    let direct = commands(&cluster, &"m".into(), &mut worker, CommandChannel::Direct);
-    assert!(matches!(direct.as_slice(), [Command::Start { .. }]));
-    worker.record_direct_starts(&direct);
-    let exited = heartbeat(2, 5, Some(TaskStatus::Exited));
-    worker.apply_heartbeat(&exited, HeartbeatSource::Periodic, 2);
-    (worker, direct)
-}
-
-/// `Forget` would let a late or repeated direct start run the attempt again.
-#[test]
-fn no_forget_while_the_worker_accepts_a_direct_start() {
-    let id: MachineId = "m".into();
-    let over = view(TaskState::Done, false);
-    let (mut worker, direct) = worker_with_exited_direct_start();
-    let answer =
-        |worker: &mut WorkerState| commands(&over, &id, worker, CommandChannel::HeartbeatAnswer);
-    assert!(answer(&mut worker).is_empty());
-    assert!(
-        worker.blocked_by_unacknowledged_start(),
-        "only a higher token makes the start impossible"
-    );
-    worker.acknowledge_direct_commands(&direct);
-    assert!(answer(&mut worker).is_empty(), "it may arrive once more");
-    assert!(!worker.blocked_by_unacknowledged_start());
-    assert_eq!(worker.token().to_wire(TokenFormat::Term), 5);
-    let mut later_session = heartbeat(1, 5, None);
-    later_session.session = 2;
-    worker.apply_heartbeat(&later_session, HeartbeatSource::Periodic, 3);
-    assert_eq!(worker.possible_direct_starts(), 0);
-}
-
-/// The answer with the `Forget` makes the worker refuse the direct start, whether it was answered or not.
-#[test]
-fn forget_carries_a_higher_token_than_the_direct_start() {
-    let id: MachineId = "m".into();
-    let mut over = view(TaskState::Done, false);
-    over.put(
-        keys::LAYOUT,
-        &to_value(&LayoutVersion {
-            layout_version: LAYOUT_VERSION,
-        }),
-        3,
-    );
-    for answered in [false, true] {
-        let (mut worker, direct) = worker_with_exited_direct_start();
-        if answered {
-            worker.acknowledge_direct_commands(&direct);
-        }
-        let started_under = worker.token();
-        let forgets = |batch: &[Command]| matches!(batch, [Command::Forget { .. }]);
-        // `Forget` is never sent directly, because it could overtake a start in the answer to a heartbeat.
-        assert!(commands(&over, &id, &mut worker, CommandChannel::Direct).is_empty());
-        assert_eq!(worker.token(), started_under);
-        let answer = commands(&over, &id, &mut worker, CommandChannel::HeartbeatAnswer);
-        assert!(forgets(&answer));
-        assert!(worker.token() > started_under && worker.fenced());
-        let raised = worker.token();
-        let repeated = commands(&over, &id, &mut worker, CommandChannel::HeartbeatAnswer);
-        assert!(forgets(&repeated), "the first answer may be lost");
-        assert_eq!(worker.token(), raised, "one raise is enough");
-        assert_eq!(worker.possible_direct_starts(), 1);
-        let token = raised.to_wire(TokenFormat::TermAndIncrements);
-        worker.apply_heartbeat(&heartbeat(3, token, None), HeartbeatSource::Periodic, 3);
-        assert_eq!(worker.possible_direct_starts(), 0);
-    }
-}
-
-/// A task of a cancelled job whose direct start was lost may start until the worker has shown a higher token.
-#[test]
-fn absence_counts_only_under_a_higher_token_than_the_direct_start() {
-    let id: MachineId = "m".into();
-    let mut cancelled = view(placed(1), true);
-    put_machine_record(&mut cancelled);
-    let layout = LayoutVersion {
-        layout_version: LAYOUT_VERSION,
-    };
-    cancelled.put(keys::LAYOUT, &to_value(&layout), 4);
-    let (mut worker, _) = worker_with_exited_direct_start();
-    worker.apply_heartbeat(&heartbeat(3, 5, None), HeartbeatSource::Periodic, 3);
-    assert_eq!(ended_attempts(&cancelled, &worker, 3), 0);
-    commands(
-        &cancelled,
-        &id,
-        &mut worker,
-        CommandChannel::HeartbeatAnswer,
-    );
-    let token = worker.token().to_wire(TokenFormat::TermAndIncrements);
-    worker.apply_heartbeat(&heartbeat(4, 5, None), HeartbeatSource::Periodic, 4);
-    assert_eq!(ended_attempts(&cancelled, &worker, 4), 0);
-    worker.apply_heartbeat(&heartbeat(5, token, None), HeartbeatSource::Periodic, 5);
-    assert_eq!(ended_attempts(&cancelled, &worker, 5), 1);
-}
-
-/// Beside earlier versions, exited attempts stay until the term is raised; their number is bounded.
-#[test]
-fn retained_attempts_block_a_machine_only_in_large_numbers_or_before_a_new_attempt() {
-    let (mut worker, direct) = worker_with_exited_direct_start();
-    worker.acknowledge_direct_commands(&direct);
-    let mut placements = BTreeMap::new();
-    assert!(!worker.blocked_by_retained_attempts(&placements));
-    let TaskState::Placed(second) = placed(2) else {
-        unreachable!()
-    };
-    placements.insert(("req-1".into(), 0), second);
-    assert!(worker.blocked_by_retained_attempts(&placements));
-    placements.clear();
-    let mut exited = heartbeat(3, 5, Some(TaskStatus::Exited));
-    let first = exited.tasks[0].clone();
-    for index in 1..64 {
-        let task = format!("req-1/{index}");
-        worker.record_direct_starts(&[Command::Start {
-            task: task.clone(),
-            attempt: 1,
-        }]);
-        exited.tasks.push(ReportedTask {
-            task,
-            ..first.clone()
-        });
-        exited.sequence += 1;
-        worker.apply_heartbeat(&exited, HeartbeatSource::Periodic, 3);
-        assert_eq!(
-            worker.blocked_by_retained_attempts(&placements),
-            index == 63
-        );
-    }
-}
-
 /// Guards against an attempt that is recorded as ended while a start of it may still be executed. A
 /// start in the answer to a heartbeat is executed before the next heartbeat or never. Neither the reply
 /// to a direct call in between nor a heartbeat with another token shows that the start is no longer
--- a/tests/invariants/events.rs
+++ b/tests/invariants/events.rs
@@ -1,18 +1,15 @@
 //! Generated events, and recovery once the failures end.
 
 use crate::world::{
-    CONTROLLER_COUNT, DelayedMessage, JOBS_PER_GANG, SimulatedController, SimulatedWorker,
-    TASKS_PER_GANG, World, spec,
+    CONTROLLER_COUNT, DelayedMessage, JOBS_PER_GANG, SimulatedWorker, TASKS_PER_GANG, World, spec,
 };
 use coppergw::jobs::model::{JobId, JobRecord, TaskBlock};
 use coppergw::membership::shard_of;
-use coppergw::store::cluster_state::ClusterState;
 use coppergw::store::keys;
 use coppergw::time::SECOND;
 use coppergw::wire::state::{Mutation, Transaction};
 use coppergw::wire::user::JobKind;
 use coppergw::wire::worker::{ExitReason, TaskStatus};
-use std::collections::BTreeMap;
 
 impl World {
     /// Executes one generated event, then checks the records.
@@ -68,18 +65,7 @@
                     mutations: vec![Mutation::Delete { key }],
                 });
             }
-            1 => {
-                let name = self.controllers[controller_index].name.clone();
-                self.controllers[controller_index] = SimulatedController {
-                    name,
-                    lease: 0,
-                    view: ClusterState::default(),
-                    log_position: 0,
-                    synced_at: 0,
-                    state_service_refuses: self.controllers[controller_index].state_service_refuses,
-                    machines: BTreeMap::new(),
-                };
-            }
+            1 => self.restart_controller(controller_index),
             2 => {
                 let key = keys::machine(&self.workers[worker_index].name);
                 self.workers[worker_index].alive = false;
--- a/tests/invariants/main.rs
+++ b/tests/invariants/main.rs
@@ -23,7 +23,6 @@
 use coppergw::jobs::commit::{JobChange, stage};
 use coppergw::jobs::model::{JobRecord, TaskBlock, TaskState};
 use coppergw::membership::shard_of;
-use coppergw::store::cluster_state::ClusterState;
 use coppergw::store::keys;
 use coppergw::time::SECOND;
 use coppergw::wire::state::{Mutation, Transaction};
@@ -31,8 +30,7 @@
 use coppergw::wire::worker::TaskStatus;
 use foldhash::{HashSet, HashSetExt};
 use proptest::prelude::*;
-use std::collections::BTreeMap;
-use world::{CONTROLLER_COUNT, LEASE_DURATION, SimulatedController, TASKS_PER_GANG, World, spec};
+use world::{CONTROLLER_COUNT, LEASE_DURATION, TASKS_PER_GANG, World, spec};
 
 proptest! {
     #![proptest_config(ProptestConfig {
@@ -365,16 +363,7 @@
         world.cancel("req-2");
         for controller_index in 0..CONTROLLER_COUNT {
             world.step(13, controller_index as u8, 0);
-            let name = world.controllers[controller_index].name.clone();
-            world.controllers[controller_index] = SimulatedController {
-                name,
-                lease: 0,
-                view: ClusterState::default(),
-                log_position: 0,
-                synced_at: 0,
-                state_service_refuses: false,
-                machines: BTreeMap::new(),
-            };
+            world.restart_controller(controller_index);
         }
         (0..outage_s).for_each(|_| world.advance_time(SECOND));
         let within_lease = outage_s * SECOND < LEASE_DURATION;
--- a/tests/invariants/repeated_starts.rs
+++ b/tests/invariants/repeated_starts.rs
@@ -5,18 +5,14 @@
 
 use crate::place_service;
 use crate::workers::ANSWERED_AND_REPEATED;
-use crate::world::{
-    CANCEL_TIMEOUT, CONTROLLER_COUNT, LEASE_DURATION, SimulatedController, World, machine_record,
-};
+use crate::world::{CANCEL_TIMEOUT, CONTROLLER_COUNT, LEASE_DURATION, World, machine_record};
 use coppergw::autoscaler::model::MachineState;
 use coppergw::membership::shard_of;
-use coppergw::store::cluster_state::ClusterState;
 use coppergw::store::keys;
 use coppergw::time::SECOND;
 use coppergw::wire::state::{Mutation, Transaction};
 use coppergw::wire::worker::{ExitReason, TaskStatus};
 use proptest::prelude::*;
-use std::collections::BTreeMap;
 
 /// Name of the task of the service.
 const TASK: &str = "req-1/0";
@@ -82,20 +78,6 @@
         self.world.store.put(key, &record);
     }
 
-    /// Replaces a controller by a new process of the same name.
-    fn restart_controller(&mut self, controller_index: usize) {
-        let controller = &mut self.world.controllers[controller_index];
-        *controller = SimulatedController {
-            name: controller.name.clone(),
-            lease: 0,
-            view: ClusterState::default(),
-            log_position: 0,
-            synced_at: 0,
-            state_service_refuses: false,
-            machines: BTreeMap::new(),
-        };
-    }
-
     /// Lets the lease of a controller expire, which goes on without noticing it.
     fn expire_member_lease(&mut self, controller_index: usize) {
         let key = keys::member(&self.world.controllers[controller_index].name);
@@ -206,7 +188,7 @@
             let mut scenario = Scenario::new(layout);
             scenario.fail_task();
             scenario.run(rounds_before_restart);
-            scenario.restart_controller(scenario.owner);
+            scenario.world.restart_controller(scenario.owner);
             scenario.world.deliver_copies();
             scenario.run(ROUNDS);
             scenario.assert_moved();
--- a/tests/invariants/world.rs
+++ b/tests/invariants/world.rs
@@ -130,6 +130,21 @@
     }
 }
 
+impl SimulatedController {
+    /// Returns a controller whose process has just started.
+    fn new(name: String) -> SimulatedController {
+        SimulatedController {
+            name,
+            lease: 0,
+            view: ClusterState::default(),
+            log_position: 0,
+            synced_at: 0,
+            state_service_refuses: false,
+            machines: BTreeMap::new(),
+        }
+    }
+}
+
 impl World {
     pub(crate) fn new() -> World {
         let mut world = World {
@@ -154,15 +169,8 @@
             world.add_machine();
         }
         for controller_index in 0..CONTROLLER_COUNT {
-            world.controllers.push(SimulatedController {
-                name: format!("n{controller_index}"),
-                lease: 0,
-                view: ClusterState::default(),
-                log_position: 0,
-                synced_at: 0,
-                state_service_refuses: false,
-                machines: BTreeMap::new(),
-            });
+            let name = format!("n{controller_index}");
+            world.controllers.push(SimulatedController::new(name));
             world.sync(controller_index);
             world.claim_shards(controller_index);
         }
@@ -187,6 +195,14 @@
         });
     }
 
+    /// Replaces a controller by a new process of the same name. A refusing state service goes on refusing it.
+    pub(crate) fn restart_controller(&mut self, controller_index: usize) {
+        let controller = &mut self.controllers[controller_index];
+        let refused = controller.state_service_refuses;
+        *controller = SimulatedController::new(controller.name.clone());
+        controller.state_service_refuses = refused;
+    }
+
     /// Advances the clock and expires leases of workers.
     pub(crate) fn advance_time(&mut self, span: Micros) {
         self.now += span;
