--- a/src/membership/layout_agreement.rs
+++ b/src/membership/layout_agreement.rs
@@ -9,7 +9,7 @@
 use crate::store::keys;
 use crate::wire::state::{Mutation, Precondition, Transaction};
 use crate::wire::to_value;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Layout that adds pipelines. Versions whose newest layout it is read task blocks in every form, but write them
 /// whole and plain unless lower limits of the state service are announced to them.
@@ -55,7 +55,8 @@
 }
 
 /// Returns the next write of a controller towards a newer layout, if one is due: the record that it supports the
-/// layout of this version, or the layout that all controllers in the settings support. A layout that is in force
+/// layout of this version, the lowered record of a controller that was rolled back, or the layout that all
+/// controllers in the settings support. A layout that is in force
 /// is only ever raised.
 pub fn next_layout_write<'a>(
     view: &ClusterState,
@@ -72,13 +73,53 @@
         let own_layout = LayoutVersion {
             layout_version: LAYOUT_VERSION,
         };
-        return Some(put(Vec::new(), keys::version(own_name), own_layout));
+        // A write that is carried out late must not follow a rollback of this controller.
+        let unchanged = vec![view.precondition(keys::member(own_name))];
+        return Some(put(unchanged, keys::version(own_name), own_layout));
     }
-    let names = peer_names.chain([own_name]);
-    let supported = layout_supported_by_all(names, &view.versions, &view.members)?;
+    if let Some(lowered) = lowered_record(view, own_name) {
+        return Some(lowered);
+    }
+    let names: BTreeSet<&str> = peer_names.chain([own_name]).collect();
+    let supported = layout_supported_by_all(names.iter().copied(), &view.versions, &view.members)?;
     let in_force = includes(view.layout.as_ref(), supported.layout_version);
-    let unchanged = vec![view.precondition(keys::LAYOUT)];
-    (!in_force).then(|| put(unchanged, keys::LAYOUT.into(), supported))
+    (!in_force).then(|| {
+        let unchanged = agreement_preconditions(view, &names);
+        put(unchanged, keys::LAYOUT.into(), supported)
+    })
+}
+
+/// Returns the preconditions of the layout in force: what the controllers recorded and state has not changed. A write
+/// that is carried out late must not follow a rollback.
+fn agreement_preconditions(view: &ClusterState, names: &BTreeSet<&str>) -> Vec<Precondition> {
+    let versions = names.iter().map(|name| keys::version(name));
+    let members = view.members.keys().map(String::as_str);
+    let members: BTreeSet<&str> = names.iter().copied().chain(members).collect();
+    let members = members.into_iter().map(keys::member);
+    let unchanged = [keys::LAYOUT.to_string()].into_iter();
+    unchanged
+        .chain(versions)
+        .chain(members)
+        .map(|key| view.precondition(key))
+        .collect()
+}
+
+/// Returns the write that lowers the recorded layout of another controller to the one that it states, if it was rolled
+/// back to an earlier version. That version lowers no record, and its member key is gone while it restarts: the layout
+/// would come into force then.
+fn lowered_record(view: &ClusterState, own_name: &str) -> Option<Transaction> {
+    let (name, member) = view.members.iter().find(|(name, member)| {
+        name.as_str() != own_name
+            && view
+                .versions
+                .get(*name)
+                .is_some_and(|recorded| recorded.layout_version > member.layout_version)
+    })?;
+    let unchanged = [keys::version(name), keys::member(name)].map(|key| view.precondition(key));
+    let stated = LayoutVersion {
+        layout_version: member.layout_version,
+    };
+    Some(put(unchanged.to_vec(), keys::version(name), stated))
 }
 
 /// Returns the transaction that writes a layout under a key.
