--- a/src/workers/direct_starts.rs
+++ b/src/workers/direct_starts.rs
@@ -42,11 +42,6 @@
         self.0.get(attempt).is_some_and(|start| !start.acknowledged)
     }
 
-    /// Returns whether a direct start was sent and not answered.
-    pub(super) fn any_unacknowledged(&self) -> bool {
-        self.0.values().any(|start| !start.acknowledged)
-    }
-
     /// Returns whether a worker that has seen `token` may execute a direct start of an attempt.
     fn is_accepted(&self, attempt: &TaskAttempt, token: FencingToken) -> bool {
         self.0
@@ -114,28 +109,36 @@
     /// until the worker refuses direct starts.
     pub(super) fn has_withheld_commands(&self) -> bool {
         let has_exited = |observed: &ObservedTask| observed.status == TaskStatus::Exited;
-        self.tasks.values().any(has_exited) || self.outstanding.direct_starts.any_unacknowledged()
+        self.tasks.values().any(has_exited) || self.pending_starts().next().is_some()
     }
 
-    /// Returns whether an unacknowledged direct start prevents an attempt from being forgotten, moved or started
-    /// again. Such a start becomes impossible only when the worker has seen a higher token.
-    pub fn blocked_by_unacknowledged_start(&self) -> bool {
+    /// Returns whether a direct start that may still be executed prevents an attempt from being forgotten, moved or
+    /// started again. Such a start becomes impossible only when the worker has seen a higher token.
+    pub fn blocked_by_direct_start(&self) -> bool {
         let token = self.token();
-        let may_still_start = |(job, index, attempt): &TaskAttempt| {
-            self.tasks
-                .get(&(job.clone(), *index))
-                .is_none_or(|o| o.attempt != *attempt || o.status == TaskStatus::Exited)
-        };
-        let starts = &self.outstanding.direct_starts.0;
         self.fenced()
             && !self.outstanding.in_flight
-            && starts.iter().any(|(attempt, start)| {
-                !start.acknowledged && start.token >= token && may_still_start(attempt)
-            })
+            && self.pending_starts().any(|start| start.token >= token)
+    }
+
+    /// Returns the direct starts that may have their effect yet: those of attempts that are not on the machine, and
+    /// unacknowledged ones of attempts that have exited.
+    fn pending_starts(&self) -> impl Iterator<Item = &DirectStart> {
+        let is_pending = |(job, index, attempt): &TaskAttempt, start: &DirectStart| {
+            let observed = self.tasks.get(&(job.clone(), *index));
+            match observed.filter(|observed| observed.attempt == *attempt) {
+                None => true,
+                Some(observed) => observed.status == TaskStatus::Exited && !start.acknowledged,
+            }
+        };
+        let starts = self.outstanding.direct_starts.0.iter();
+        starts
+            .filter(move |(attempt, start)| is_pending(attempt, start))
+            .map(|(_, start)| start)
     }
 
-    /// Raises the token if an attempt can be forgotten, or an unacknowledged start becomes impossible, only under a
-    /// higher one. Without effect while controllers that know terms alone may run.
+    /// Raises the token if an attempt can be forgotten, or a start that blocks an attempt becomes impossible, only
+    /// under a higher one. Without effect while controllers that know terms alone may run.
     pub(super) fn raise_token_if_needed(
         &mut self,
         view: &ClusterState,
@@ -144,8 +147,8 @@
         if TokenFormat::in_use(view) == TokenFormat::Term {
             return;
         }
-        let needed = self.retained_attempts(placed).next().is_some()
-            || self.blocked_by_unacknowledged_start();
+        let needed =
+            self.retained_attempts(placed).next().is_some() || self.blocked_by_direct_start();
         if let Some(token) = self.token().incremented().filter(|_| needed) {
             self.token_increments = token.increments;
         }
--- a/src/workers/direct_starts/tests.rs
+++ b/src/workers/direct_starts/tests.rs
@@ -33,12 +33,12 @@
         |worker: &mut WorkerState| commands(&over, &id, worker, CommandChannel::HeartbeatAnswer);
     assert!(answer(&mut worker).is_empty());
     assert!(
-        worker.blocked_by_unacknowledged_start(),
+        worker.blocked_by_direct_start(),
         "only a higher token makes the start impossible"
     );
     worker.acknowledge_direct_commands(&direct);
     assert!(answer(&mut worker).is_empty(), "it may arrive once more");
-    assert!(!worker.blocked_by_unacknowledged_start());
+    assert!(!worker.blocked_by_direct_start());
     assert_eq!(worker.token().to_wire(TokenFormat::Term), 5);
     let mut later_session = heartbeat(1, 5, None);
     later_session.session = 2;
@@ -82,7 +82,7 @@
     }
 }
 
-/// A task of a cancelled job whose direct start was lost may start until the worker has shown a higher token.
+/// A task of a cancelled job whose direct start was lost or refused may start until the worker has shown a higher token.
 #[test]
 fn absence_counts_only_under_a_higher_token_than_the_direct_start() {
     let id: MachineId = "m".into();
@@ -92,20 +92,26 @@
         layout_version: LAYOUT_VERSION,
     };
     cancelled.put(keys::LAYOUT, &to_value(&layout), 4);
-    let (mut worker, _) = worker_with_exited_direct_start();
-    worker.apply_heartbeat(&heartbeat(3, 5, None), HeartbeatSource::Periodic, 3);
-    assert_eq!(ended_attempts(&cancelled, &worker, 3), 0);
-    commands(
-        &cancelled,
-        &id,
-        &mut worker,
-        CommandChannel::HeartbeatAnswer,
-    );
-    let token = worker.token().to_wire(TokenFormat::TermAndIncrements);
-    worker.apply_heartbeat(&heartbeat(4, 5, None), HeartbeatSource::Periodic, 4);
-    assert_eq!(ended_attempts(&cancelled, &worker, 4), 0);
-    worker.apply_heartbeat(&heartbeat(5, token, None), HeartbeatSource::Periodic, 5);
-    assert_eq!(ended_attempts(&cancelled, &worker, 5), 1);
+    for refused in [false, true] {
+        let (mut worker, direct) = worker_with_exited_direct_start();
+        if refused {
+            worker.acknowledge_direct_commands(&direct);
+        }
+        worker.apply_heartbeat(&heartbeat(3, 5, None), HeartbeatSource::Periodic, 3);
+        assert_eq!(ended_attempts(&cancelled, &worker, 3), 0);
+        assert!(worker.has_withheld_commands());
+        commands(
+            &cancelled,
+            &id,
+            &mut worker,
+            CommandChannel::HeartbeatAnswer,
+        );
+        let token = worker.token().to_wire(TokenFormat::TermAndIncrements);
+        worker.apply_heartbeat(&heartbeat(4, 5, None), HeartbeatSource::Periodic, 4);
+        assert_eq!(ended_attempts(&cancelled, &worker, 4), 0);
+        worker.apply_heartbeat(&heartbeat(5, token, None), HeartbeatSource::Periodic, 5);
+        assert_eq!(ended_attempts(&cancelled, &worker, 5), 1);
+    }
 }
 
 /// Beside earlier versions, exited attempts stay until the term is raised; their number is bounded.
--- a/src/workers/registry.rs
+++ b/src/workers/registry.rs
@@ -220,16 +220,16 @@
     ) {
         let blocked = machines.iter().filter(|(id, worker)| {
             worker.time_since_contact(now) < self.settings.heartbeat_interval * 2
-                && (self.needs_term_for_unacknowledged_start(worker, view, now)
+                && (self.needs_term_for_direct_start(worker, view, now)
                     || needs_term_for_retained_attempts(view, id, worker, now))
         });
         self.membership
             .set_pending_term_increments(blocked.map(|(id, _)| shard_of(id)));
     }
 
-    /// Returns whether an unacknowledged start blocks an attempt, and no answer to a heartbeat raises the token
+    /// Returns whether a direct start blocks an attempt, and no answer to a heartbeat raises the token
     /// of the machine.
-    fn needs_term_for_unacknowledged_start(
+    fn needs_term_for_direct_start(
         &self,
         worker: &WorkerState,
         view: &ClusterState,
@@ -240,7 +240,7 @@
                 < self.settings.heartbeat_interval * 2;
         !token_is_raised
             && now.saturating_sub(worker.probes.last_failed_at) > RAISE_TERM_DELAY
-            && worker.blocked_by_unacknowledged_start()
+            && worker.blocked_by_direct_start()
     }
 }
 
--- a/tests/invariants/controllers.rs
+++ b/tests/invariants/controllers.rs
@@ -27,7 +27,7 @@
     let no_tasks = BTreeMap::new();
     let placed = view.tasks_on(id).unwrap_or(&no_tasks);
     TokenFormat::in_use(view) == TokenFormat::Term
-        && (worker.blocked_by_unacknowledged_start() || worker.blocked_by_retained_attempts(placed))
+        && (worker.blocked_by_direct_start() || worker.blocked_by_retained_attempts(placed))
 }
 
 impl World {
