--- a/review/4/run.sh
+++ /dev/null
@@ -1,3 +0,0 @@
-#!/bin/sh
-# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: no disruption.
-exec python3 "$(dirname "$0")/case.py"
--- a/review/standin/machines.py
+++ b/review/standin/machines.py
@@ -12,8 +12,7 @@
 class Cloud:
     """Rents machines. `world` holds the jobs that users uploaded and writes the record."""
 
-    def __init__(self, world, types, capacity, list_lag_s=3.0, machine_class=None):
-        self.machine_class = machine_class or Machine
+    def __init__(self, world, types, capacity, list_lag_s=3.0):
         self.world, self.types, self.capacity, self.list_lag_s = world, types, dict(capacity), list_lag_s
         self.machines = {}  # name -> Machine
         self.charters = {}
@@ -27,7 +26,7 @@
     async def rent(self, rig, yard, loaners, ready_s):
         self.count += 1
         name = f"m-{self.count:06d}"
-        machine = self.machine_class(self.world, name, self.types[rig], yard, loaners, ready_s)
+        machine = Machine(self.world, name, self.types[rig], yard, loaners, ready_s)
         self.machines[name] = machine
         await machine.start()
         return name
--- a/review/standin/world.py
+++ b/review/standin/world.py
@@ -16,12 +16,11 @@
 
 
 def program():
-    """The command of the deploy file, without a shell. REVIEW_PROGRAM names another build of the program."""
+    """The command of the deploy file, without a shell."""
     with open(os.path.join(ROOT, "deploy", "service.toml"), encoding="utf-8") as file:
         for line in file:
             if line.startswith("run ="):
-                command = json.loads(line.split("=", 1)[1]).split()
-                return [os.environ.get("REVIEW_PROGRAM", command[0])] + command[1:]
+                return json.loads(line.split("=", 1)[1]).split()
     raise RuntimeError("no run command")
 
 
@@ -34,8 +33,7 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
     world, code = None, 2
     try:
-        record = os.environ.get("REVIEW_RECORD", os.path.join(folder, "record.txt"))
-        world = World(record, settings)
+        world = World(os.path.join(folder, "record.txt"), settings)
         world.note("case", trouble=trouble, program=program())
         broken = asyncio.run(asyncio.wait_for(case(world, trouble), limit_s))
         world.note("result", broken=broken)
@@ -122,7 +120,7 @@
         zone = s["zones"][0]
         lines = [f'node_name = "{name}"', f'area = "{zone}"', f'front = "{self.fronts[name]}"',
                  f'peer_bind = "{self.peers[name]}"', ""]
-        for other, address in (self.peers | s.get("absent_peers", {})).items():
+        for other, address in self.peers.items():
             if other != name:
                 lines += ["[[siblings]]", f'node_name = "{other}"', f'area = "{zone}"',
                           f'endpoint = "{address}"', ""]
--- a/tests/real_processes.rs
+++ b/tests/real_processes/main.rs
@@ -1,5 +1,5 @@
-//! Cases of `review/` with real processes of the program on loopback. They need Python 3, and nothing but its standard
-//! library.
+//! Real processes of the program on loopback, against the stand-ins of `review/standin`. The cases need Python 3 and
+//! nothing but its standard library.
 
 use std::path::Path;
 use std::process::Command;
@@ -27,13 +27,13 @@
 }
 
 fn assert_repeated_calls_start_nothing(layout: Layout) {
-    let case = Path::new(env!("CARGO_MANIFEST_DIR")).join("review/4/case.py");
-    let record =
-        Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("repeated-calls-{layout:?}.txt"));
+    let case = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/real_processes/repeated_calls.py");
+    let record = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("repeated-calls-{layout:?}"));
+    std::fs::create_dir_all(&record).expect("folder of the record");
     let output = Command::new("python3")
         .arg(case)
-        .env("REVIEW_PROGRAM", env!("CARGO_BIN_EXE_coppergw"))
-        .env("REVIEW_RECORD", &record)
+        .env("PROGRAM", env!("CARGO_BIN_EXE_coppergw"))
+        .env("RECORD_DIR", &record)
         .env("SEED", SEED)
         .env("DURATION_S", DURATION_S)
         .env(
--- a/review/4/case.py
+++ b/tests/real_processes/repeated_calls.py
@@ -1,20 +1,28 @@
 """Answered direct calls arrive once more while machines fail their tasks, jobs are cancelled and controllers restart.
 
-DURATION_S: how long jobs are submitted. SEED: of all random choices of the case; the processes run on the real clock.
-TROUBLE=0: no call arrives a second time. EARLIER_LAYOUT=1: the settings name a controller that never starts, so that the
-layout of this version does not come into force.
+Three processes of the program run against the stand-ins of `review/standin`. Each direct call with a start that was
+executed and answered arrives once more, some seconds or half a minute later, and is executed if token and session
+still match. A third of the machines fail every task, machines hang, and a controller ends every few seconds and is back
+after 0.3 s. The case is broken if an attempt starts a second time, a task is on two machines, or a task starts later
+than `cancel_s` after a confirmed cancellation. Exit codes: 0 held, 1 broken, 2 could not run.
+
+PROGRAM: another build than that of the deploy file. RECORD_DIR: folder of `record.txt`. DURATION_S: how long jobs are
+submitted. SEED: of all random choices of the case; the processes run on the real clock. TROUBLE=0: no call arrives a
+second time. EARLIER_LAYOUT=1: the settings name a controller that never starts, so that the layout of this version does
+not come into force.
 """
 
 import asyncio
 import os
 import random
 import sys
+import tempfile
 import time
 
 HERE = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.dirname(HERE))
+sys.path.insert(0, os.path.join(HERE, "..", "..", "review"))
 
-from standin import cbor  # noqa: E402
+from standin import cbor, world as standin_world  # noqa: E402
 from standin.http import LOOPBACK, free_ports  # noqa: E402
 from standin.machines import Cloud, Machine  # noqa: E402
 from standin.state import StateService  # noqa: E402
@@ -101,6 +109,18 @@
             self._exit(name, task, "error")
 
 
+class RepeatedMachineCloud(Cloud):
+    """A cloud whose machines receive answered calls once more."""
+
+    async def rent(self, rig, yard, loaners, ready_s):
+        self.count += 1
+        name = f"m-{self.count:06d}"
+        machine = RepeatedMachine(self.world, name, self.types[rig], yard, loaners, ready_s)
+        self.machines[name] = machine
+        await machine.start()
+        return name
+
+
 def has_start(body):
     return any(order["verb"] == "start" for order in cbor.decode(body).get("orders") or [])
 
@@ -153,8 +173,9 @@
 async def case(world, trouble):
     world.random, world.tally, world.repeats = random.Random(SEED), Tally(), trouble
     state = StateService(rps=200.0, write_rps=80.0, value_kb=32.0, txn_ops=32)
-    cloud = Cloud(world, {RIG: rig(RIG, 4.0, 32.0, [ZONE])}, {(RIG, ZONE, False): 60},
-                  machine_class=RepeatedMachine)
+    cloud = RepeatedMachineCloud(world, {RIG: rig(RIG, 4.0, 32.0, [ZONE])}, {(RIG, ZONE, False): 60})
+    if os.environ.get("EARLIER_LAYOUT", "0") != "0":
+        world.peers["deckhand-9"] = f"{LOOPBACK}:{free_ports(1)[0]}"
     await world.begin(state, cloud, [(RIG, ZONE, MACHINES)])
     names = sorted(cloud.machines)
     for name in world.random.sample(names, round(MACHINES * FAILING_SHARE)):
@@ -176,7 +197,8 @@
 
 
 SETTINGS = kayal()
-if os.environ.get("EARLIER_LAYOUT", "0") != "0":
-    SETTINGS["absent_peers"] = {"deckhand-9": f"{LOOPBACK}:{free_ports(1)[0]}"}
 SETTINGS["workers"].update(report_s=1.0, lease_s=10.0, cancel_s=30.0)
-run_case(HERE, SETTINGS, case, LIMIT_S)
+PROGRAM = os.environ.get("PROGRAM")
+if PROGRAM is not None:
+    standin_world.program = lambda: [PROGRAM, "serve", "--config"]
+run_case(os.environ.get("RECORD_DIR") or tempfile.mkdtemp(prefix="repeated-calls-"), SETTINGS, case, LIMIT_S)
