--- a/src/workers/command_log.rs
+++ b/src/workers/command_log.rs
@@ -1,10 +1,10 @@
 //! Log lines and counters of the commands to workers, and of messages that show an attempt where none should be.
 
-use super::commands::CommandChannel;
+use super::commands::{CommandChannel, task_attempt};
 use super::fencing_token::FencingToken;
 use super::worker_state::{TaskAttempt, WorkerState};
 use crate::ids::MachineId;
-use crate::jobs::model::{JobId, parse_task};
+use crate::jobs::model::JobId;
 use crate::store::cluster_state::{ClusterState, Job};
 use crate::wire::worker::{Command, Heartbeat};
 use serde::Serialize;
@@ -133,15 +133,15 @@
             Command::Forget { .. } => return CommandReason::EndRecorded,
             Command::Stop { task, attempt, .. } => (task, *attempt),
         };
-        let key = parse_task(task).map(|(job, index)| (job.into(), index));
-        let placed_job = key.and_then(|key| {
-            let placement = self.view.tasks_on(self.machine)?.get(&key)?;
-            let is_shown = self.worker.shows(placement, u32::try_from(attempt).ok()?);
-            is_shown.then_some(key.0)
-        });
-        match placed_job {
+        let Some((job, index, attempt)) = task_attempt(task, attempt) else {
+            return CommandReason::NotPlaced;
+        };
+        let key = (job, index);
+        let placed = self.view.tasks_on(self.machine);
+        let placement = placed.and_then(|placed| placed.get(&key));
+        match placement.filter(|placement| self.worker.shows(placement, attempt)) {
             None => CommandReason::NotPlaced,
-            Some(job) if self.is_cancelled(&job) => CommandReason::JobCancelled,
+            Some(_) if self.is_cancelled(&key.0) => CommandReason::JobCancelled,
             Some(_) => CommandReason::StopRequested,
         }
     }
@@ -153,11 +153,11 @@
 
     /// Returns whether the newest message is the first one that shows the task of a command in its state.
     fn is_first_report(&self, command: &Command) -> bool {
-        let (Command::Start { task, .. }
-        | Command::Stop { task, .. }
-        | Command::Forget { task, .. }) = command;
-        let key = parse_task(task).map(|(job, index)| (job.into(), index));
-        key.and_then(|key| self.worker.tasks.get(&key))
+        let (Command::Start { task, attempt }
+        | Command::Stop { task, attempt, .. }
+        | Command::Forget { task, attempt }) = command;
+        task_attempt(task, *attempt)
+            .and_then(|(job, index, _)| self.worker.tasks.get(&(job, index)))
             .is_some_and(|observed| observed.since == self.worker.heartbeat.last_contact_at)
     }
 
--- a/src/workers/direct_starts/tests.rs
+++ b/src/workers/direct_starts/tests.rs
@@ -10,6 +10,14 @@
 use crate::wire::worker::ReportedTask;
 use crate::workers::{CommandChannel, HeartbeatSource, commands};
 
+/// Puts the layout of this version into force.
+fn put_layout(cluster: &mut ClusterState) {
+    let layout = LayoutVersion {
+        layout_version: LAYOUT_VERSION,
+    };
+    cluster.put(keys::LAYOUT, &to_value(&layout), 4);
+}
+
 /// Returns a worker of term 5 whose task was started by a direct call and has exited, and the commands of the call.
 fn worker_with_exited_direct_start() -> (WorkerState, Vec<Command>) {
     let cluster = view(placed(1), false);
@@ -51,13 +59,7 @@
 fn forget_carries_a_higher_token_than_the_direct_start() {
     let id: MachineId = "m".into();
     let mut over = view(TaskState::Done, false);
-    over.put(
-        keys::LAYOUT,
-        &to_value(&LayoutVersion {
-            layout_version: LAYOUT_VERSION,
-        }),
-        3,
-    );
+    put_layout(&mut over);
     for answered in [false, true] {
         let (mut worker, direct) = worker_with_exited_direct_start();
         if answered {
@@ -88,10 +90,7 @@
     let id: MachineId = "m".into();
     let mut cancelled = view(placed(1), true);
     put_machine_record(&mut cancelled);
-    let layout = LayoutVersion {
-        layout_version: LAYOUT_VERSION,
-    };
-    cancelled.put(keys::LAYOUT, &to_value(&layout), 4);
+    put_layout(&mut cancelled);
     for refused in [false, true] {
         let (mut worker, direct) = worker_with_exited_direct_start();
         if refused {
--- a/src/workers/heartbeat.rs
+++ b/src/workers/heartbeat.rs
@@ -212,8 +212,11 @@
             .tasks
             .get(key)
             .is_some_and(|previous| previous.attempt == attempt);
+        if was_reported {
+            return false;
+        }
         let attempt = (key.0.clone(), key.1, attempt);
-        !was_reported && self.outstanding.forgotten.contains(&attempt)
+        self.outstanding.forgotten.contains(&attempt)
     }
 
     /// Counts the exit of an attempt once. `self.tasks` still holds the tasks of the previous message.
--- a/tests/invariants/events.rs
+++ b/tests/invariants/events.rs
@@ -4,7 +4,6 @@
     CONTROLLER_COUNT, DelayedMessage, JOBS_PER_GANG, SimulatedWorker, TASKS_PER_GANG, World, spec,
 };
 use coppergw::jobs::model::{JobId, JobRecord, TaskBlock};
-use coppergw::membership::shard_of;
 use coppergw::store::keys;
 use coppergw::time::SECOND;
 use coppergw::wire::state::{Mutation, Transaction};
@@ -26,9 +25,7 @@
             3..=5 => self.reconcile_pass(controller_index, argument),
             6..=8 => {
                 // Usually to the owner of the machine.
-                let shard = shard_of(&self.workers[worker_index].name);
-                let owner = (0..CONTROLLER_COUNT)
-                    .find(|controller_index| self.term(*controller_index, shard).is_some());
+                let owner = self.owner_of(worker_index);
                 self.exchange_heartbeat(
                     worker_index,
                     owner
@@ -58,13 +55,7 @@
         worker_index: usize,
     ) {
         match selector % 8 {
-            0 => {
-                let key = keys::member(&self.controllers[controller_index].name);
-                self.store.apply(&Transaction {
-                    preconditions: vec![],
-                    mutations: vec![Mutation::Delete { key }],
-                });
-            }
+            0 => self.expire_member_lease(controller_index),
             1 => self.restart_controller(controller_index),
             2 => {
                 let key = keys::machine(&self.workers[worker_index].name);
@@ -209,10 +200,7 @@
                 self.sync(controller_index);
             }
             for worker_index in 0..self.workers.len() {
-                let shard = shard_of(&self.workers[worker_index].name);
-                if let Some(controller_index) = (0..CONTROLLER_COUNT)
-                    .find(|controller_index| self.term(*controller_index, shard).is_some())
-                {
+                if let Some(controller_index) = self.owner_of(worker_index) {
                     self.exchange_heartbeat(worker_index, controller_index, 2);
                 }
             }
--- a/tests/invariants/main.rs
+++ b/tests/invariants/main.rs
@@ -1,11 +1,11 @@
 //! Safety rules under generated failures, with a virtual clock and a simulated state service, cloud and workers.
 //! The state machines of the controllers are those of the production code.
 //!
-//! Transactions, heartbeats and direct calls are lost, delayed or delivered twice, also after they were answered. Machines get into an outbound
-//! partition (their heartbeats arrive, answers and commands to them are lost) or an inbound partition (their
-//! heartbeats reach no controller, direct calls arrive). They hang, and resume within their lease with the
-//! commands queued during the hang. Every cancellation is confirmed at once, and the tasks of a cancelled job must
-//! end in time.
+//! Transactions, heartbeats and direct calls are lost, delayed or delivered twice, also after they were answered.
+//! Machines get into an outbound partition (their heartbeats arrive, answers and commands to them are lost) or an
+//! inbound partition (their heartbeats reach no controller, direct calls arrive). They hang, and resume within their
+//! lease with the commands queued during the hang. Every cancellation is confirmed at once, and the tasks of a
+//! cancelled job must end in time.
 //!
 //! `world` holds the simulated state, `controllers`, `workers` and `events` change it, and `checks` holds the
 //! invariants that are checked after each event.
@@ -25,7 +25,6 @@
 use coppergw::membership::shard_of;
 use coppergw::store::keys;
 use coppergw::time::SECOND;
-use coppergw::wire::state::{Mutation, Transaction};
 use coppergw::wire::user::JobKind;
 use coppergw::wire::worker::TaskStatus;
 use foldhash::{HashSet, HashSetExt};
@@ -104,16 +103,9 @@
     let machine = (0..world.workers.len())
         .find(|worker_index| !world.workers[*worker_index].tasks.is_empty())
         .expect("the replica is running");
-    let shard = shard_of(&world.workers[machine].name);
-    let old_owner = (0..CONTROLLER_COUNT)
-        .find(|controller_index| world.term(*controller_index, shard).is_some())
-        .expect("owner");
+    let old_owner = world.owner_of(machine).expect("owner");
     // The old owner is isolated: its lease expires, others claim its shards and renew the leases of the workers.
-    let key = keys::member(&world.controllers[old_owner].name);
-    world.store.apply(&Transaction {
-        preconditions: vec![],
-        mutations: vec![Mutation::Delete { key }],
-    });
+    world.expire_member_lease(old_owner);
     for _ in 0..30 {
         for controller_index in
             (0..CONTROLLER_COUNT).filter(|controller_index| *controller_index != old_owner)
@@ -152,9 +144,7 @@
 /// token of the owner. Returns the indexes of the owner and the machine.
 fn place_service(world: &mut World) -> (usize, usize) {
     let owner = |world: &World, worker_index: usize| {
-        let shard = shard_of(&world.workers[worker_index].name);
-        let owner = (0..CONTROLLER_COUNT)
-            .find(|controller_index| world.term(*controller_index, shard).is_some());
+        let owner = world.owner_of(worker_index);
         owner.expect("each shard has an owner")
     };
     (0..CONTROLLER_COUNT).for_each(|controller_index| world.sync(controller_index));
@@ -268,12 +258,7 @@
     let mut world = World::new();
     let (controller_index, worker_index) = place_service(&mut world);
     world.send_direct_call(controller_index, worker_index, 0);
-    let key = keys::member(&world.controllers[controller_index].name);
-    let member_expiry = vec![Mutation::Delete { key }];
-    world.store.apply(&Transaction {
-        preconditions: vec![],
-        mutations: member_expiry,
-    });
+    world.expire_member_lease(controller_index);
     let others: Vec<usize> = (0..CONTROLLER_COUNT)
         .filter(|other| *other != controller_index)
         .collect();
@@ -333,10 +318,7 @@
                 world.sync(controller_index);
             }
             for worker_index in 0..world.workers.len() {
-                let shard = shard_of(&world.workers[worker_index].name);
-                if let Some(controller_index) = (0..CONTROLLER_COUNT)
-                    .find(|controller_index| world.term(*controller_index, shard).is_some())
-                {
+                if let Some(controller_index) = world.owner_of(worker_index) {
                     world.exchange_heartbeat(worker_index, controller_index, 2);
                 }
             }
--- a/tests/invariants/repeated_starts.rs
+++ b/tests/invariants/repeated_starts.rs
@@ -7,10 +7,8 @@
 use crate::workers::ANSWERED_AND_REPEATED;
 use crate::world::{CANCEL_TIMEOUT, CONTROLLER_COUNT, LEASE_DURATION, World, machine_record};
 use coppergw::autoscaler::model::MachineState;
-use coppergw::membership::shard_of;
 use coppergw::store::keys;
 use coppergw::time::SECOND;
-use coppergw::wire::state::{Mutation, Transaction};
 use coppergw::wire::worker::{ExitReason, TaskStatus};
 use proptest::prelude::*;
 
@@ -78,15 +76,6 @@
         self.world.store.put(key, &record);
     }
 
-    /// Lets the lease of a controller expire, which goes on without noticing it.
-    fn expire_member_lease(&mut self, controller_index: usize) {
-        let key = keys::member(&self.world.controllers[controller_index].name);
-        self.world.store.apply(&Transaction {
-            preconditions: vec![],
-            mutations: vec![Mutation::Delete { key }],
-        });
-    }
-
     /// Runs rounds of all controllers and workers; the copies arrive after each step.
     fn run(&mut self, rounds: usize) {
         for _ in 0..rounds {
@@ -109,9 +98,7 @@
 
     /// Exchanges a direct call and a heartbeat between a worker and the owner of its shard.
     fn exchange_messages(&mut self, worker_index: usize) {
-        let shard = shard_of(&self.world.workers[worker_index].name);
-        let owner = (0..CONTROLLER_COUNT).find(|index| self.world.term(*index, shard).is_some());
-        let Some(owner) = owner else {
+        let Some(owner) = self.world.owner_of(worker_index) else {
             return;
         };
         self.world
@@ -204,7 +191,7 @@
             let mut scenario = Scenario::new(layout);
             scenario.fail_task();
             scenario.run(rounds_before_takeover);
-            scenario.expire_member_lease(scenario.owner);
+            scenario.world.expire_member_lease(scenario.owner);
             scenario.run(ROUNDS);
             scenario.assert_moved();
             scenario.assert_forgotten(layout);
--- a/tests/invariants/world.rs
+++ b/tests/invariants/world.rs
@@ -4,12 +4,12 @@
 use coppergw::autoscaler::model::{MachineRecord, MachineState};
 use coppergw::ids::MachineId;
 use coppergw::jobs::model::{JobRecord, JobSpec};
-use coppergw::membership::{LAYOUT_VERSION, LayoutVersion};
+use coppergw::membership::{LAYOUT_VERSION, LayoutVersion, shard_of};
 use coppergw::store::cluster_state::ClusterState;
 use coppergw::store::keys;
 use coppergw::time::{Micros, SECOND};
 use coppergw::wire::cloud::MachineType;
-use coppergw::wire::state::Transaction;
+use coppergw::wire::state::{Mutation, Transaction};
 use coppergw::wire::user::{JobKind, Priority};
 use coppergw::wire::worker::{Command, ExitReason, Heartbeat, TaskStatus};
 use coppergw::workers::WorkerState;
@@ -195,6 +195,21 @@
         });
     }
 
+    /// Lets the lease of a controller expire, which goes on without noticing it.
+    pub(crate) fn expire_member_lease(&mut self, controller_index: usize) {
+        let key = keys::member(&self.controllers[controller_index].name);
+        self.store.apply(&Transaction {
+            preconditions: vec![],
+            mutations: vec![Mutation::Delete { key }],
+        });
+    }
+
+    /// Returns the first controller that owns the shard of a machine, according to its own view.
+    pub(crate) fn owner_of(&self, worker_index: usize) -> Option<usize> {
+        let shard = shard_of(&self.workers[worker_index].name);
+        (0..CONTROLLER_COUNT).find(|controller_index| self.term(*controller_index, shard).is_some())
+    }
+
     /// Replaces a controller by a new process of the same name. A refusing state service goes on refusing it.
     pub(crate) fn restart_controller(&mut self, controller_index: usize) {
         let controller = &mut self.controllers[controller_index];
--- a/tests/real_processes/repeated_calls.py
+++ b/tests/real_processes/repeated_calls.py
@@ -22,7 +22,7 @@
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "..", "review"))
 
-from standin import cbor, world as standin_world  # noqa: E402
+from standin import cbor, machines as standin_machines, world as standin_world  # noqa: E402
 from standin.http import LOOPBACK, free_ports  # noqa: E402
 from standin.machines import Cloud, Machine  # noqa: E402
 from standin.state import StateService  # noqa: E402
@@ -109,18 +109,6 @@
             self._exit(name, task, "error")
 
 
-class RepeatedMachineCloud(Cloud):
-    """A cloud whose machines receive answered calls once more."""
-
-    async def rent(self, rig, yard, loaners, ready_s):
-        self.count += 1
-        name = f"m-{self.count:06d}"
-        machine = RepeatedMachine(self.world, name, self.types[rig], yard, loaners, ready_s)
-        self.machines[name] = machine
-        await machine.start()
-        return name
-
-
 def has_start(body):
     return any(order["verb"] == "start" for order in cbor.decode(body).get("orders") or [])
 
@@ -173,7 +161,8 @@
 async def case(world, trouble):
     world.random, world.tally, world.repeats = random.Random(SEED), Tally(), trouble
     state = StateService(rps=200.0, write_rps=80.0, value_kb=32.0, txn_ops=32)
-    cloud = RepeatedMachineCloud(world, {RIG: rig(RIG, 4.0, 32.0, [ZONE])}, {(RIG, ZONE, False): 60})
+    standin_machines.Machine = RepeatedMachine
+    cloud = Cloud(world, {RIG: rig(RIG, 4.0, 32.0, [ZONE])}, {(RIG, ZONE, False): 60})
     if os.environ.get("EARLIER_LAYOUT", "0") != "0":
         world.peers["deckhand-9"] = f"{LOOPBACK}:{free_ports(1)[0]}"
     await world.begin(state, cloud, [(RIG, ZONE, MACHINES)])
