--- /dev/null
+++ b/review/6/case.py
@@ -0,0 +1,56 @@
+"""A job is cancelled after the state service has lowered its limits, as it announced."""
+
+import os
+import sys
+
+FOLDER = os.path.dirname(os.path.abspath(__file__))
+sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "harness2"))
+
+
+import asyncio  # noqa: E402
+
+from world import TROUBLE, World, rig, run_case  # noqa: E402
+
+ZONE = "nyarugenge-hall"
+TYPES = [rig(f"umurenge-16-{number:04d}", 16, 64, [ZONE]) for number in range(130)]
+ALLOWED = [kind["sku"] for kind in TYPES[:125]]
+JOB = "req-000001"
+NEXT = {"value_kb": 2.0, "txn_ops": 5, "write_rps": 28.0}
+
+
+def make_world():
+    used = TYPES[1]["sku"]
+    world = World(FOLDER, TYPES, {(used, ZONE, False): 4}, [(used, ZONE, False)] * 2, {"fleet-desk": 0.0},
+                  state_next=NEXT)
+    # The third controller ended before and is back later.
+    world.first_nodes = ["deckhand-0", "deckhand-1"]
+    return world
+
+
+async def play(world):
+    await world.healthy(world.first_nodes)
+    spec = world.job(JOB, jobclass="booking-api", shape="standing", shards=2, expected_s=0.0, rigs=ALLOWED)
+    status, _ = await world.submit(spec)
+    if status != 201:
+        return [f"the job is not accepted: {status}"]
+    if await world.until_status(JOB, ("running",), 30) is None:
+        return ["the job does not run"]
+    world.start_node("deckhand-2")
+    await world.healthy()
+    await world.until("all controllers agree on the layout", lambda: "c/layout" in world.state.keys, 20)
+    await asyncio.sleep(1.0)
+    if TROUBLE:
+        world.note("the state service lowers its limits", **NEXT)
+        world.state.value_kb, world.state.txn_ops, world.state.write_rps = 2.0, 5, 28.0
+    # As long as a cancelled job may have tasks, and more than the 60 s in which a user repeats a submission.
+    status, answer = await world.withdraw(JOB, for_s=62.0)
+    for when, what in world.state.rejections[:3]:
+        world.note("the state service refused a transaction", why=what)
+    world.note("refused transactions", count=len(world.state.rejections))
+    if status != 200:
+        return [f"no controller answered the cancellation within 62 s (last status {status}), "
+                f"{len(world.on_machine)} tasks run on"]
+    return world.broken
+
+
+run_case(make_world, play)
