--- a/review/harness2/standins.py
+++ b/review/harness2/standins.py
@@ -157,9 +157,10 @@
                 pass
 
     async def transaction(self, node, body):
-        if len(body) > 64 * 1024:
-            return 400, {"error": "too large"}
         txn = decode(body)
+        if len(body) > 32 * 1024 and json_size(txn) > 64 * 1024:
+            self.rejections.append((time.time(), f"a transaction of {json_size(txn)} bytes"))
+            return 400, {"error": "too large"}
         guards, then = txn.get("guards") or [], txn.get("then") or []
         if not self.take(1, len(then)):
             return 429, None
@@ -403,15 +404,18 @@
             return
         gang = spec["shape"] == "group"
         left, alone = spec["run_s"], 0.0
+        if isinstance(left, (list, tuple)):
+            left = left[key[1] % len(left)]
+        step = 0.1 if gang else 1.0
         while left > 0:
-            await asyncio.sleep(min(0.1, left))
-            left -= 0.1
+            await asyncio.sleep(min(step, left))
+            left -= step
             await self.while_hung()
             if self.tasks.get(key) is not task or task["status"] != "running":
                 return
             if gang and not self.world.gang_runs(key, spec):
                 # Another task is gone or its machine hangs: no progress, and the rest exits within gang_peer_s.
-                left, alone = left + 0.1, alone + 0.1
+                left, alone = left + step, alone + step
                 if alone > self.world.gang_peer_s * 0.8:
                     self.end(key, "peers")
                     return
