--- a/review/harness2/standins.py
+++ b/review/harness2/standins.py
@@ -147,7 +147,13 @@
             if not self.unavailable(node):
                 if self.log and len(self.log) == self.log.maxlen and self.log[0]["stamp"] > after + 1:
                     return 410, {"error": "compacted"}
-                events = [e for e in self.log if e["stamp"] > after and (e.get("put") or e["remove"]).startswith(under)]
+                events = []
+                for event in reversed(self.log):
+                    if event["stamp"] <= after:
+                        break
+                    if (event.get("put") or event["remove"]).startswith(under):
+                        events.append(event)
+                events.reverse()
                 if events or time.monotonic() >= ends:
                     return 200, {"ledger_rev": self.revision, "log": events}
             changed = self.changed
