Scheduling: the input of a controller that owns everything is made in one place

Six callers, the autoscaler among them, repeated the same ten fields; tests/zones.rs also repeated Store::update_view.

--- a/benches/growth.rs
+++ b/benches/growth.rs
@@ -151,29 +151,16 @@
 }
 
 fn run_schedule(cluster: &ClusterState, forecast: bool) -> Schedule {
-    let always = |_: &str| true;
-    let never = |_: &str| false;
     let schedulable = |_: &MachineId, record: &MachineRecord| {
         Some(SchedulableMachine {
             session: record.session,
             owned: true,
         })
     };
+    let released = HashMap::default();
     schedule(&SchedulingInput {
-        view: cluster,
-        wall_clock: SECOND,
-        teams: &[],
-        objectives: &[],
-        schedulable_machine: &schedulable,
-        released_resources: &HashMap::default(),
-        in_backoff: &never,
-        owns_job: &always,
-        owns_machine: &always,
-        place_gangs: true,
-        place_arrays: true,
-        place_deadline_steps: true,
         forecast,
-        write_limit: None,
+        ..SchedulingInput::of_whole_cluster(cluster, SECOND, &schedulable, &released)
     })
 }
 
--- a/src/autoscaler/reconciler.rs
+++ b/src/autoscaler/reconciler.rs
@@ -14,7 +14,7 @@
 pub use garbage_collection::{close_scale_out_request, delete_terminated_records};
 pub use provisioning_errors::CloudRequestState;
 
-use super::model::MachineState;
+use super::model::{MachineRecord, MachineState};
 use super::{CapacityForecast, ScalingDecision, decide, late_booting_machines};
 use crate::controller::Controller;
 use crate::ids::MachineId;
@@ -211,31 +211,23 @@
     pub fn forecast(&self, view: &ClusterState, include_booting: bool) -> Schedule {
         let wall_clock = wall_clock_now();
         let late_machines = late_booting_machines(view, wall_clock, &|id| self.is_known_ready(id));
+        let schedulable = |id: &MachineId, record: &MachineRecord| {
+            let is_counted = match record.state {
+                MachineState::Up => true,
+                MachineState::Booting => include_booting && !late_machines.contains(id),
+                _ => false,
+            };
+            is_counted.then_some(SchedulableMachine {
+                session: record.session,
+                owned: true,
+            })
+        };
+        let released = HashMap::new();
         scheduling::schedule(&SchedulingInput {
-            view,
-            wall_clock,
             teams: &self.settings.teams,
             objectives: &self.settings.objectives,
-            schedulable_machine: &|id, record| {
-                let is_counted = match record.state {
-                    MachineState::Up => true,
-                    MachineState::Booting => include_booting && !late_machines.contains(id),
-                    _ => false,
-                };
-                is_counted.then_some(SchedulableMachine {
-                    session: record.session,
-                    owned: true,
-                })
-            },
-            released_resources: &HashMap::new(),
-            in_backoff: &|_| false,
-            owns_job: &|_| true,
-            owns_machine: &|_| true,
-            place_gangs: true,
-            place_arrays: true,
-            place_deadline_steps: true,
             forecast: true,
-            write_limit: None,
+            ..SchedulingInput::of_whole_cluster(view, wall_clock, &schedulable, &released)
         })
     }
 
--- a/src/scheduling/input.rs
+++ b/src/scheduling/input.rs
@@ -57,6 +57,34 @@
     pub write_limit: Option<WriteLimit<'a>>,
 }
 
+impl<'a> SchedulingInput<'a> {
+    /// Returns the input of a controller that owns every job and machine, places all kinds of jobs and has no limit on
+    /// its writes. No team has a quota, and no class has an objective.
+    pub fn of_whole_cluster(
+        view: &'a ClusterState,
+        wall_clock: Micros,
+        schedulable_machine: &'a dyn Fn(&MachineId, &MachineRecord) -> Option<SchedulableMachine>,
+        released_resources: &'a HashMap<MachineId, Resources>,
+    ) -> SchedulingInput<'a> {
+        SchedulingInput {
+            view,
+            wall_clock,
+            teams: &[],
+            objectives: &[],
+            schedulable_machine,
+            released_resources,
+            in_backoff: &|_| false,
+            owns_job: &|_| true,
+            owns_machine: &|_| true,
+            place_gangs: true,
+            place_arrays: true,
+            place_deadline_steps: true,
+            forecast: false,
+            write_limit: None,
+        }
+    }
+}
+
 /// Limit on the writes of a schedule. Nothing beyond it is computed: with hundreds of jobs waiting for
 /// writes, a full schedule costs much processor time.
 #[derive(Clone, Copy)]
--- a/tests/heartbeat_capacity.rs
+++ b/tests/heartbeat_capacity.rs
@@ -72,27 +72,17 @@
 }
 
 fn run(view: &ClusterState, forecast: bool) -> Schedule {
+    let schedulable = |_: &MachineId, record: &MachineRecord| {
+        let usable = record.state == MachineState::Up || forecast;
+        usable.then_some(SchedulableMachine {
+            session: record.session,
+            owned: true,
+        })
+    };
+    let released = HashMap::new();
     schedule(&SchedulingInput {
-        view,
-        wall_clock: NOW,
-        teams: &[],
-        objectives: &[],
-        schedulable_machine: &|_, record| {
-            let usable = record.state == MachineState::Up || forecast;
-            usable.then_some(SchedulableMachine {
-                session: record.session,
-                owned: true,
-            })
-        },
-        released_resources: &HashMap::new(),
-        in_backoff: &|_| false,
-        owns_job: &|_| true,
-        owns_machine: &|_| true,
-        place_gangs: true,
-        place_arrays: true,
-        place_deadline_steps: true,
         forecast,
-        write_limit: None,
+        ..SchedulingInput::of_whole_cluster(view, NOW, &schedulable, &released)
     })
 }
 
--- a/tests/large_clusters/world.rs
+++ b/tests/large_clusters/world.rs
@@ -120,26 +120,21 @@
         released_resources: &HashMap<MachineId, Resources>,
         owns_machine: &dyn Fn(&str) -> bool,
     ) -> Vec<JobChange> {
+        let schedulable = |id: &MachineId, machine: &MachineRecord| {
+            (machine.state == MachineState::Up).then_some(SchedulableMachine {
+                session: machine.session,
+                owned: owns_machine(id),
+            })
+        };
+        let wall_clock = 401 * SECOND;
         schedule(&SchedulingInput {
-            view: &self.state,
-            wall_clock: 401 * SECOND,
-            teams: &[],
-            objectives: &[],
-            schedulable_machine: &|id, machine| {
-                (machine.state == MachineState::Up).then_some(SchedulableMachine {
-                    session: machine.session,
-                    owned: owns_machine(id),
-                })
-            },
-            released_resources,
-            in_backoff: &|_| false,
-            owns_job: &|_| true,
             owns_machine,
-            place_gangs: true,
-            place_arrays: true,
-            place_deadline_steps: true,
-            forecast: false,
-            write_limit: None,
+            ..SchedulingInput::of_whole_cluster(
+                &self.state,
+                wall_clock,
+                &schedulable,
+                released_resources,
+            )
         })
         .changes
     }
--- a/tests/scheduling.rs
+++ b/tests/scheduling.rs
@@ -5,6 +5,7 @@
 use common::LIMITS;
 use coppergw::autoscaler::model::{MachineRecord, MachineState};
 use coppergw::fairness::{PriorityBoost, PriorityBoosts};
+use coppergw::ids::MachineId;
 use coppergw::jobs::commit::{JobChange, TransactionLimits, stage};
 use coppergw::jobs::model::{JobId, JobRecord, JobSpec, Resources, TaskBlock};
 use coppergw::membership::{SHARD_COUNT, Shard};
@@ -142,26 +143,17 @@
     writes: Option<WriteLimit<'_>>,
 ) -> Vec<JobChange> {
     let teams = teams();
+    let schedulable = |_: &MachineId, machine: &MachineRecord| {
+        (machine.state == MachineState::Up).then_some(SchedulableMachine {
+            session: machine.session,
+            owned: true,
+        })
+    };
+    let released = HashMap::new();
     schedule(&SchedulingInput {
-        view: cluster_state,
-        wall_clock: 500 * SECOND,
         teams: &teams,
-        objectives: &[],
-        schedulable_machine: &|_, machine| {
-            (machine.state == MachineState::Up).then_some(SchedulableMachine {
-                session: machine.session,
-                owned: true,
-            })
-        },
-        released_resources: &HashMap::new(),
-        in_backoff: &|_| false,
-        owns_job: &|_| true,
-        owns_machine: &|_| true,
-        place_gangs: true,
-        place_arrays: true,
-        place_deadline_steps: true,
-        forecast: false,
         write_limit: writes,
+        ..SchedulingInput::of_whole_cluster(cluster_state, 500 * SECOND, &schedulable, &released)
     })
     .changes
 }
--- a/tests/zones.rs
+++ b/tests/zones.rs
@@ -6,6 +6,7 @@
 use common::{Store, machine_type, spec, up};
 use coppergw::autoscaler::model::{MachineRecord, MachineState};
 use coppergw::autoscaler::{CapacityForecast, ScalingDecision, decide};
+use coppergw::ids::MachineId;
 use coppergw::jobs::model::{JobRecord, JobSpec, Placement, Resources, TaskBlock, TaskState};
 use coppergw::policy::Policy;
 use coppergw::scheduling::{SchedulableMachine, Schedule, SchedulingInput, schedule};
@@ -48,13 +49,7 @@
 
     fn view(&self) -> ClusterState {
         let mut view = ClusterState::default();
-        for (revision, key, value) in &self.0.log {
-            match value {
-                Some(value) => view.put(key, value, *revision),
-                None => view.delete(key, *revision),
-            }
-        }
-        view.revision = self.0.rev;
+        self.0.update_view(&mut view, &mut 0);
         view
     }
 
@@ -77,27 +72,17 @@
 }
 
 fn forecast(cluster_state: &ClusterState) -> Schedule {
+    let schedulable = |_: &MachineId, record: &MachineRecord| {
+        let usable = matches!(record.state, MachineState::Up | MachineState::Booting);
+        usable.then_some(SchedulableMachine {
+            session: record.session,
+            owned: true,
+        })
+    };
+    let released = HashMap::new();
     schedule(&SchedulingInput {
-        view: cluster_state,
-        wall_clock: NOW,
-        teams: &[],
-        objectives: &[],
-        schedulable_machine: &|_, record| {
-            let usable = matches!(record.state, MachineState::Up | MachineState::Booting);
-            usable.then_some(SchedulableMachine {
-                session: record.session,
-                owned: true,
-            })
-        },
-        released_resources: &HashMap::new(),
-        in_backoff: &|_| false,
-        owns_job: &|_| true,
-        owns_machine: &|_| true,
-        place_gangs: true,
-        place_arrays: true,
-        place_deadline_steps: true,
         forecast: true,
-        write_limit: None,
+        ..SchedulingInput::of_whole_cluster(cluster_state, NOW, &schedulable, &released)
     })
 }
 
