Scheduling: only the excess of a machine that the owner knows is stopped; direct calls repeat each Forget

A new owner sees ended attempts in the task blocks until it has heard from the machine, and would have stopped running tasks of a full machine as excess. A direct call left out a Forget that was sent within the last second, but counted its room for the starts behind it; a failed call pauses starts, so that this showed no harm.

Change: excess is stopped only on machines that may get tasks, whose worker has been heard from under this term; a Forget is always repeated. The text of a counter and of a module said less than they do.

Test: only_the_excess_of_a_known_machine_is_stopped (the bound, tasks that are stopping or have ended, an unknown machine, gangs). The repeated Forget has no test of its own. tests/invariants and tests/heartbeat_capacity pass.

--- a/src/scheduling/draining.rs
+++ b/src/scheduling/draining.rs
@@ -1,6 +1,7 @@
-//! Stops of tasks that must not continue: gangs that lost a task, tasks on machines that are draining (usually after a
-//! spot preemption notice) or closing, and tasks that do not fit into their machine's heartbeat (`overfull`). A gang is stopped by the controller that places
-//! gangs, in one write; other tasks are stopped by the owner of their machine.
+//! Stops of tasks that must not continue: gangs that lost a task, tasks on machines that are draining (usually after
+//! a spot preemption notice) or closing, and tasks that do not fit into their machine's heartbeat (`overfull`). A gang
+//! that lost a task or drains is stopped by the controller that places gangs, in one write; other tasks are stopped by
+//! the owner of their machine.
 
 use super::SchedulingInput;
 use super::backfill::backfill_only;
--- a/src/scheduling/overfull.rs
+++ b/src/scheduling/overfull.rs
@@ -34,6 +34,10 @@
         (kind, Reverse(self.job.spec.priority), Reverse(name))
     }
 
+    fn is_stopping(&self) -> bool {
+        self.placement.stop_grace_period.is_some() || self.job.cancelled()
+    }
+
     fn stop(&self, changes: &mut Vec<JobChange>) {
         changes.push(JobChange::Stop {
             job: self.id.clone(),
@@ -44,11 +48,12 @@
     }
 }
 
-/// Stops the excess tasks on the overfull machines that this controller owns.
+/// Stops the excess tasks on the overfull machines that this controller owns and knows from their workers' messages.
+/// A new owner does not know yet which tasks have ended although their blocks do not record it.
 pub(super) fn stop_excess_tasks(input: &SchedulingInput<'_>, changes: &mut Vec<JobChange>) {
     let mut stopped_gangs: HashSet<&JobId> = HashSet::default();
     let overfull = input.view.indexes().overfull.iter();
-    for machine in overfull.filter(|id| (input.owns_machine)(id)) {
+    for machine in overfull.filter(|id| is_owned_and_known(input, id)) {
         let mut excess = excess_bytes(input, machine);
         let mut candidates = candidates(input.view, machine);
         candidates.sort_by(|a, b| a.order().cmp(&b.order()));
@@ -66,6 +71,12 @@
     }
 }
 
+fn is_owned_and_known(input: &SchedulingInput<'_>, id: &MachineId) -> bool {
+    let record = input.view.machines.get(id);
+    let schedulable = record.and_then(|record| (input.schedulable_machine)(id, record));
+    schedulable.is_some_and(|machine| machine.owned)
+}
+
 /// Returns the bytes by which the tasks that remain on a machine exceed its heartbeat. Tasks that are stopping, and
 /// those that have ended although their blocks do not record it yet, do not remain.
 fn excess_bytes(input: &SchedulingInput<'_>, machine: &MachineId) -> i64 {
@@ -92,12 +103,6 @@
         .collect()
 }
 
-impl ExcessCandidate<'_> {
-    fn is_stopping(&self) -> bool {
-        self.placement.stop_grace_period.is_some() || self.job.cancelled()
-    }
-}
-
 fn tasks_on<'a>(
     view: &'a ClusterState,
     machine: &MachineId,
--- a/src/workers/command_dispatch.rs
+++ b/src/workers/command_dispatch.rs
@@ -188,7 +188,11 @@
             // alive.
             due.retain(|command| !matches!(command, Command::Start { .. }));
         }
-        due.retain(|command| !worker.recently_sent(command, now, COMMAND_REPEAT_INTERVAL));
+        // A `Forget` is always repeated: the starts behind it take the room that it leaves in the heartbeat.
+        due.retain(|command| {
+            matches!(command, Command::Forget { .. })
+                || !worker.recently_sent(command, now, COMMAND_REPEAT_INTERVAL)
+        });
         due.truncate(count_fitting_commands(&due));
         worker.outstanding.forgotten.record(&due);
         (probe || !due.is_empty()).then_some(due)
--- a/src/workers/command_log.rs
+++ b/src/workers/command_log.rs
@@ -54,7 +54,8 @@
     unplaced_attempts: Cell<u64>,
     /// Attempts that a worker reported again after a `Forget`.
     attempts_after_forget: Cell<u64>,
-    /// Starts that a message left out because the machine's heartbeat has no room for them, for each such message.
+    /// Starts that were left out because the machine's heartbeat has no room for them, each time that the commands of
+    /// the machine were computed.
     withheld_starts: Cell<u64>,
     /// Heartbeats larger than a worker has to be able to send.
     oversized_heartbeats: Cell<u64>,
--- a/tests/heartbeat_capacity.rs
+++ b/tests/heartbeat_capacity.rs
@@ -7,7 +7,9 @@
 use coppergw::autoscaler::{CapacityForecast, ScalingDecision, decide};
 use coppergw::ids::MachineId;
 use coppergw::jobs::commit::JobChange;
-use coppergw::jobs::model::{JobRecord, JobSpec, MachineUsage, Resources, TaskBlock};
+use coppergw::jobs::model::{
+    JobRecord, JobSpec, MachineUsage, Placement, Resources, TaskBlock, TaskState,
+};
 use coppergw::policy::Policy;
 use coppergw::scheduling::{
     SchedulableMachine, Schedule, SchedulingInput, count_fitting_without_backfill, schedule,
@@ -199,3 +201,66 @@
         0
     );
 }
+
+/// Tasks that an earlier version placed on a machine beyond its heartbeat.
+const EXCESS: u32 = 4;
+
+/// Returns a cluster with one machine on which `EXCESS` tasks too many are placed, of which the last are stopping.
+fn overfull_cluster(kind: JobKind, stopping: u32) -> ClusterState {
+    let tasks = TASKS_PER_MACHINE + EXCESS;
+    let mut view = cluster(&[MachineState::Up], &small_tasks(kind, tasks));
+    let placed = |index| {
+        TaskState::Placed(Placement {
+            attempt: 1,
+            machine: "m-0".into(),
+            session: 1,
+            stop_grace_period: (index >= tasks - stopping).then_some(0),
+        })
+    };
+    let block = TaskBlock::from((0..tasks).map(placed).collect::<Vec<_>>());
+    let record = JobRecord(small_tasks(kind, tasks), block);
+    view.put(&keys::job(JOB), &coppergw::wire::to_value(&record), 100);
+    common::indexed(&view);
+    view
+}
+
+/// Returns the indexes of the tasks that a run stops. `released` tasks have ended, and their block does not record it.
+fn stopped_tasks(view: &ClusterState, known: bool, released: u32) -> Vec<u32> {
+    let schedulable = |_: &MachineId, record: &MachineRecord| {
+        known.then_some(SchedulableMachine {
+            session: record.session,
+            owned: true,
+        })
+    };
+    let per_task = view.jobs[JOB].spec.resources;
+    let released = per_task.for_tasks(i64::from(released));
+    let released = HashMap::from_iter([(MachineId::from("m-0"), released)]);
+    let input = SchedulingInput::of_whole_cluster(view, NOW, &schedulable, &released);
+    let changes = schedule(&input).changes;
+    let index = |change: &JobChange| match change {
+        JobChange::Stop { index, .. } => *index,
+        other => panic!("{other:?}"),
+    };
+    changes.iter().map(index).collect()
+}
+
+/// Guards against a machine that stays over its heartbeat, and against more stops than it needs: tasks that are
+/// stopping or have ended leave anyway, and a new owner does not know yet which have ended.
+#[test]
+fn only_the_excess_of_a_known_machine_is_stopped() {
+    let last_ones: Vec<u32> = (0..EXCESS)
+        .map(|n| TASKS_PER_MACHINE + EXCESS - 1 - n)
+        .collect();
+    for kind in [JobKind::Array, JobKind::Service] {
+        let view = overfull_cluster(kind, 0);
+        assert_eq!(stopped_tasks(&view, true, 0), last_ones, "{kind:?}");
+        assert_eq!(stopped_tasks(&view, true, 1).len(), EXCESS as usize - 1);
+        assert!(stopped_tasks(&view, true, EXCESS).is_empty(), "{kind:?}");
+        assert!(stopped_tasks(&view, false, 0).is_empty(), "{kind:?}");
+        let stopping = overfull_cluster(kind, EXCESS);
+        assert!(stopped_tasks(&stopping, true, 0).is_empty(), "{kind:?}");
+    }
+    let gang = overfull_cluster(JobKind::Gang, 0);
+    let all = (TASKS_PER_MACHINE + EXCESS) as usize;
+    assert_eq!(stopped_tasks(&gang, true, 0).len(), all);
+}
