Tests: a round of all controllers of the invariants is made in one place

World::settle and the rounds of heartbeat_limit.rs repeated the same five steps; the type in a closure there was written out.

--- a/tests/invariants/events.rs
+++ b/tests/invariants/events.rs
@@ -166,6 +166,17 @@
         }
     }
 
+    /// Lets every controller read all changes, claim its shards and run a pass whose writes are applied at once.
+    pub(crate) fn reconcile_all(&mut self) {
+        for controller_index in 0..CONTROLLER_COUNT {
+            self.sync(controller_index);
+            self.claim_shards(controller_index);
+            self.sync(controller_index);
+            self.reconcile_pass(controller_index, 1);
+            self.sync(controller_index);
+        }
+    }
+
     /// Ends all failures, cancels services, and runs until each job that can finish has finished.
     pub(crate) fn settle(&mut self) {
         self.delayed.clear();
@@ -192,13 +203,7 @@
             self.cancel(&id);
         }
         for _ in 0..80 {
-            for controller_index in 0..CONTROLLER_COUNT {
-                self.sync(controller_index);
-                self.claim_shards(controller_index);
-                self.sync(controller_index);
-                self.reconcile_pass(controller_index, 1);
-                self.sync(controller_index);
-            }
+            self.reconcile_all();
             for worker_index in 0..self.workers.len() {
                 if let Some(controller_index) = self.owner_of(worker_index) {
                     self.exchange_heartbeat(worker_index, controller_index, 2);
--- a/tests/invariants/heartbeat_limit.rs
+++ b/tests/invariants/heartbeat_limit.rs
@@ -1,7 +1,7 @@
 //! Machines with room for more small tasks than their worker can report in one message. A worker that cannot send its
 //! heartbeat loses its lease, and with it every task on the machine.
 
-use crate::world::{CONTROLLER_COUNT, JOBS_PER_GANG, TASKS_PER_GANG, World, machine_type, spec};
+use crate::world::{JOBS_PER_GANG, TASKS_PER_GANG, World, machine_type, spec};
 use crate::{assert_all_jobs_finished, common};
 use coppergw::jobs::model::{JobRecord, JobSpec, Resources, TASKS_PER_BLOCK, TaskBlock};
 use coppergw::jobs::model::{Placement, TaskState};
@@ -52,13 +52,7 @@
     /// Runs all controllers and workers for some seconds; each worker sends a heartbeat every second.
     fn run_for(&mut self, seconds: u32, runs: Runs) {
         for _ in 0..seconds {
-            for controller_index in 0..CONTROLLER_COUNT {
-                self.sync(controller_index);
-                self.claim_shards(controller_index);
-                self.sync(controller_index);
-                self.reconcile_pass(controller_index, 1);
-                self.sync(controller_index);
-            }
+            self.reconcile_all();
             for worker_index in 0..self.workers.len() {
                 let owner = self.owner_of(worker_index).expect("owner");
                 self.exchange_heartbeat(worker_index, owner, 2);
@@ -72,14 +66,14 @@
 
     fn end_tasks(&mut self, runs: Runs) {
         let now = self.now;
-        let is_service = |view: &coppergw::store::cluster_state::ClusterState, name: &str| {
+        let view = &self.controllers[0].view;
+        let is_service = |name: &str| {
             let job = name.split_once('/').and_then(|(job, _)| view.jobs.get(job));
             job.is_none_or(|job| job.spec.kind == JobKind::Service)
         };
-        let view = &self.controllers[0].view;
         for worker in &mut self.workers {
             for (name, task) in &mut worker.tasks {
-                if task.status != TaskStatus::Running || is_service(view, name) {
+                if task.status != TaskStatus::Running || is_service(name) {
                     continue;
                 }
                 match runs {
