--- a/src/controller.rs
+++ b/src/controller.rs
@@ -153,6 +153,7 @@
         self.spawn(|this| async move { this.watch_cache.watch_loop().await });
         self.spawn(|this| async move { this.watch_cache.linearizable_read_loop().await });
         self.spawn(|this| async move { this.watch_cache.dependency_lookup_loop().await });
+        self.spawn(|this| async move { this.acceptance_lookup_loop().await });
         self.spawn(|this| async move { this.lease_loop().await });
         self.spawn(|this| async move { this.shard_loop().await });
         self.spawn(|this| async move { this.reconcile_loop().await });
@@ -294,6 +295,16 @@
         }
     }
 
+    /// Executes lookups of whether jobs were accepted, within the limits in force and those announced.
+    pub async fn acceptance_lookup_loop(&self) {
+        let limits = self.settings.next_state_limits;
+        let limits = limits.unwrap_or(self.settings.state_limits);
+        let max_preconditions = limits.max_preconditions();
+        self.watch_cache
+            .acceptance_lookup_loop(max_preconditions)
+            .await;
+    }
+
     /// Returns the maximum size of a written value in bytes of JSON, less a reserve.
     pub fn max_value_bytes(&self) -> usize {
         self.state_limits()
--- a/src/jobs/api/cancellation.rs
+++ b/src/jobs/api/cancellation.rs
@@ -4,7 +4,7 @@
 use super::super::commit::cancel;
 use super::super::model::JobId;
 use super::job_state::is_final;
-use super::{MAX_TRANSACTIONS_PER_REQUEST, StateUnavailable, service_unavailable};
+use super::{MAX_TRANSACTIONS_PER_REQUEST, StateUnavailable};
 use crate::controller::Controller;
 use crate::store::client::TransactionOutcome;
 use crate::wire::server::Response;
@@ -12,20 +12,19 @@
 
 impl Controller {
     /// Handles a cancellation request. Idempotent: the answer for a finished job is its state.
-    pub(super) async fn cancel(&self, id: &str) -> Response {
+    pub(super) async fn cancel(&self, id: &str) -> Result<Response, StateUnavailable> {
         if !is_valid_job_id(id) {
-            return Response::status(404);
+            return Ok(Response::status(404));
         }
         for _ in 0..MAX_TRANSACTIONS_PER_REQUEST {
-            match self.job_state(id).await {
-                Ok(Some(state)) if is_final(&state) => return Response::with_body(200, &state),
+            match self.job_state(id).await? {
+                Some(state) if is_final(&state) => return Ok(Response::with_body(200, &state)),
                 // The cancellation could not be confirmed after the write, so nothing is written.
-                Ok(Some(_)) if self.membership.confirmations_held(self.clock.now()) => {
-                    return service_unavailable();
+                Some(_) if self.membership.confirmations_held(self.clock.now()) => {
+                    return Err(StateUnavailable);
                 }
-                Ok(Some(_)) => {}
-                Ok(None) => return Response::status(404),
-                Err(StateUnavailable) => return service_unavailable(),
+                Some(_) => {}
+                None => return Ok(Response::status(404)),
             }
             let transaction = cancel(
                 &self.watch_cache.view(),
@@ -38,10 +37,10 @@
             match self.watch_cache.transaction(&transaction).await {
                 TransactionOutcome::Committed(_) | TransactionOutcome::Conflict(_) => {}
                 TransactionOutcome::Rejected(_) | TransactionOutcome::Unknown => {
-                    return service_unavailable();
+                    return Err(StateUnavailable);
                 }
             }
         }
-        service_unavailable()
+        Err(StateUnavailable)
     }
 }
--- a/src/jobs/api/forwarding.rs
+++ b/src/jobs/api/forwarding.rs
@@ -1,6 +1,7 @@
 //! Forwards requests to a peer that reaches the state service while this controller does not. Processing a
 //! request twice is harmless: submissions are idempotent by their id.
 
+use super::{StateUnavailable, service_unavailable};
 use crate::controller::Controller;
 use crate::time::{Micros, SECOND};
 use crate::wire::decode;
@@ -26,24 +27,30 @@
 impl Controller {
     /// Handles a user's request, and forwards it to a peer if this controller cannot answer it.
     pub async fn handle_or_forward_user_request(&self, request: Request) -> Response {
-        let forwarded = request.body.as_ref().map(|body| ForwardedRequest {
-            post: request.method == Method::Post,
-            path: request.path.clone(),
-            body: body.clone(),
-        });
-        let response = self.handle_user_request(request).await;
-        let (503, Some(forwarded)) = (response.status, forwarded) else {
-            return response;
-        };
+        match self.answer_user_request(&request).await {
+            Ok(response) => response,
+            Err(StateUnavailable) => {
+                let forwarded = self.forward_user_request(request).await;
+                forwarded.unwrap_or_else(service_unavailable)
+            }
+        }
+    }
+
+    /// Returns a peer's answer to a user's request; `None` if there is none that may be passed on.
+    async fn forward_user_request(&self, request: Request) -> Option<Response> {
+        let body = request.body?;
         // A peer of the previous version ignores dependencies: it would accept the job and start it at
         // once.
-        if self.watch_cache.view().layout.is_none() && has_dependencies(&forwarded.body) {
-            return response;
+        if self.watch_cache.view().layout.is_none() && has_dependencies(&body) {
+            return None;
         }
-        let Some(address) = self.peer_with_state_service() else {
-            return response;
+        let address = self.peer_with_state_service()?;
+        let forwarded = ForwardedRequest {
+            post: request.method == Method::Post,
+            path: request.path,
+            body,
         };
-        self.forward(address, &forwarded).await.unwrap_or(response)
+        self.forward(address, &forwarded).await
     }
 
     /// Returns the address of a peer that reaches the state service.
@@ -85,7 +92,7 @@
             path: forwarded.path,
             body: Some(forwarded.body),
         };
-        let response = self.handle_user_request(request).await;
+        let response = self.handle_user_request(&request).await;
         Response {
             status: 200,
             body: pack(&ForwardedResponse {
--- a/src/jobs/api/job_state.rs
+++ b/src/jobs/api/job_state.rs
@@ -3,7 +3,7 @@
 
 use super::super::model::JobId;
 use super::super::pipelines::{finished_job_answer, job_answer};
-use super::{StateUnavailable, service_unavailable};
+use super::StateUnavailable;
 use crate::controller::Controller;
 use crate::wire::server::Response;
 use crate::wire::user::{JobAnswer, Status, is_valid_job_id};
@@ -15,15 +15,17 @@
 
 impl Controller {
     /// Handles a request for a job's state.
-    pub(super) async fn handle_job_state_request(&self, id: &str) -> Response {
+    pub(super) async fn handle_job_state_request(
+        &self,
+        id: &str,
+    ) -> Result<Response, StateUnavailable> {
         if !is_valid_job_id(id) {
-            return Response::status(404);
-        }
-        match self.job_state(id).await {
-            Ok(Some(state)) => Response::with_body(200, &state),
-            Ok(None) => Response::status(404),
-            Err(StateUnavailable) => service_unavailable(),
+            return Ok(Response::status(404));
         }
+        Ok(match self.job_state(id).await? {
+            Some(state) => Response::with_body(200, &state),
+            None => Response::status(404),
+        })
     }
 
     /// Returns the job's state in the watch cache, which may be stale.
--- a/src/jobs/api/mod.rs
+++ b/src/jobs/api/mod.rs
@@ -7,6 +7,7 @@
 mod forwarding;
 mod inspection;
 mod job_state;
+mod refusal;
 mod submission;
 
 pub use forwarding::has_dependencies;
@@ -36,16 +37,20 @@
 
 impl Controller {
     /// Dispatches a user's request to its handler.
-    pub async fn handle_user_request(&self, request: Request) -> Response {
+    pub async fn handle_user_request(&self, request: &Request) -> Response {
+        let response = self.answer_user_request(request).await;
+        response.unwrap_or_else(|StateUnavailable| service_unavailable())
+    }
+
+    /// Dispatches a user's request to its handler. Fails if this controller cannot answer it while another one
+    /// may be able to.
+    async fn answer_user_request(&self, request: &Request) -> Result<Response, StateUnavailable> {
         match (parse_path(&request.path), request.method) {
-            (Some(Route::Submit), Method::Post) => match request.body {
-                Some(body) => self.submit(&body).await,
-                None => Response::error(400, "the body is cut short or larger than 64 KiB"),
-            },
+            (Some(Route::Submit), Method::Post) => self.submit(request.body.as_deref()).await,
             (Some(Route::Job(id)), Method::Get) => self.handle_job_state_request(id).await,
             (Some(Route::Cancel(id)), Method::Post) => self.cancel(id).await,
-            (Some(_), _) => Response::status(405),
-            (None, _) => Response::status(404),
+            (Some(_), _) => Ok(Response::status(405)),
+            (None, _) => Ok(Response::status(404)),
         }
     }
 }
--- a/src/jobs/api/submission.rs
+++ b/src/jobs/api/submission.rs
@@ -1,11 +1,13 @@
 //! Idempotent submission: the job's id is the idempotency key. The answer for an accepted job is its state,
-//! even if a repeated submission has a different content; only a job that was never accepted is rejected.
+//! even if a repeated submission has a different content; only a job that was never accepted is refused
+//! (`refusal`).
 
 use super::super::commit::accept_submission;
 use super::super::memory_budget::MemoryExhausted;
 use super::super::model::{AdmissionError, JobId, JobIdList, JobSpec, validate};
 use super::super::pipelines::{DependencyCheck, check_dependencies};
-use super::{MAX_TRANSACTIONS_PER_REQUEST, RETRY_AFTER_S, StateUnavailable, service_unavailable};
+use super::refusal::RefusalReason;
+use super::{MAX_TRANSACTIONS_PER_REQUEST, StateUnavailable};
 use crate::controller::Controller;
 use crate::store::client::TransactionOutcome;
 use crate::store::keys;
@@ -19,41 +21,27 @@
 /// answered with status 429.
 const MAX_WRITE_DELAY: Micros = SECOND / 2;
 
-/// `Retry-After` for a job for which there is no memory, in seconds: until other jobs end, which takes longer than a
-/// write.
-const MEMORY_RETRY_AFTER_S: u64 = 5;
-
 /// Largest number of final states that one submission may read for its dependencies. If more are missing,
 /// the submission is accepted on a later retry, as the states that were read stay in the watch cache.
 const MAX_DEPENDENCY_READS: usize = 40;
 
 /// Reason why a submission is not accepted.
-#[derive(Debug, thiserror::Error)]
 enum SubmissionError {
-    /// 400: the body cannot be decoded as a submission, or an id is invalid.
-    #[error("{0}")]
-    Malformed(String),
-    /// 400 or 422: a field is out of range, or the job can never run.
-    #[error(transparent)]
-    Inadmissible(#[from] AdmissionError),
-    /// 400: the job's record cannot be stored.
-    #[error("names or lists are too long for a value of the state service")]
-    TooLarge,
-    /// 429: the write would have to wait too long, or the state service refuses it because of its rate
-    /// limit.
-    #[error("too many writes are queued")]
-    Overloaded,
-    /// 429: the job would not fit into memory with the unfinished ones.
-    #[error(transparent)]
-    MemoryExhausted(#[from] MemoryExhausted),
-    /// 503: it is unknown whether the job can be accepted, or its write was not answered.
-    #[error("the submission cannot be processed at present")]
-    Unavailable,
+    /// The submission is refused, unless an earlier one was accepted.
+    Refused(RefusalReason),
+    /// It is unknown whether the job was accepted.
+    Unknown(StateUnavailable),
+}
+
+impl From<RefusalReason> for SubmissionError {
+    fn from(reason: RefusalReason) -> SubmissionError {
+        SubmissionError::Refused(reason)
+    }
 }
 
 impl From<StateUnavailable> for SubmissionError {
-    fn from(_: StateUnavailable) -> SubmissionError {
-        SubmissionError::Unavailable
+    fn from(unavailable: StateUnavailable) -> SubmissionError {
+        SubmissionError::Unknown(unavailable)
     }
 }
 
@@ -77,59 +65,25 @@
 }
 
 impl Controller {
-    /// Handles a submission.
-    pub(super) async fn submit(&self, body: &[u8]) -> Response {
+    /// Handles a submission; `None` is a body that could not be read.
+    pub(super) async fn submit(&self, body: Option<&[u8]>) -> Result<Response, StateUnavailable> {
+        let Some(body) = body else {
+            return self.refuse(None, RefusalReason::BodyUnreadable).await;
+        };
         let submission: Submission = match decode(body) {
             Ok(submission) => submission,
             Err(error) => {
-                let id = job_id_in_body(body).unwrap_or_default();
-                let error = SubmissionError::Malformed(error.to_string());
-                return self.reject(&id, error).await;
+                let reason = RefusalReason::Malformed(error.to_string());
+                return self.refuse(job_id_in_body(body).as_deref(), reason).await;
             }
         };
         match self.accept(&submission).await {
-            Ok(Acceptance::Created) => {
-                let state = JobAnswer {
-                    id: submission.id,
-                    status: Status::Pending,
-                    done: 0,
-                    running: 0,
-                    dependencies: Vec::new(),
-                };
-                Response::with_body(201, &state)
-            }
-            Ok(Acceptance::Existing(state)) => Response::with_body(200, &state),
-            Err(error) => self.reject(&submission.id, error).await,
-        }
-    }
-
-    /// Answers a submission that is not accepted. If a job was accepted under the same id before, the
-    /// answer is its state instead: the cluster state does not contain every finished job, and the machine
-    /// types may have changed since.
-    async fn reject(&self, id: &str, error: SubmissionError) -> Response {
-        let status = match &error {
-            SubmissionError::Malformed(_)
-            | SubmissionError::Inadmissible(AdmissionError::Malformed(_)) => 400,
-            SubmissionError::Inadmissible(AdmissionError::Infeasible(_)) => 422,
-            SubmissionError::TooLarge => {
-                tracing::debug!(id, %error, "submission rejected");
-                return Response::error(400, &error.to_string());
+            Ok(Acceptance::Created) => Ok(created_response(submission.id)),
+            Ok(Acceptance::Existing(state)) => Ok(Response::with_body(200, &state)),
+            Err(SubmissionError::Refused(reason)) => {
+                self.refuse(Some(&submission.id), reason).await
             }
-            SubmissionError::Overloaded => return Response::retry_later(429, RETRY_AFTER_S),
-            SubmissionError::MemoryExhausted(_) => {
-                return Response::retry_later(429, MEMORY_RETRY_AFTER_S);
-            }
-            SubmissionError::Unavailable => return service_unavailable(),
-        };
-        tracing::debug!(id, status, %error, "submission rejected");
-        let rejection = Response::error(status, &error.to_string());
-        if !is_valid_job_id(id) {
-            return rejection;
-        }
-        match self.job_state(id).await {
-            Ok(Some(state)) => Response::with_body(200, &state),
-            Ok(None) => rejection,
-            Err(StateUnavailable) => service_unavailable(),
+            Err(SubmissionError::Unknown(unavailable)) => Err(unavailable),
         }
     }
 
@@ -139,13 +93,11 @@
         check_ids(submission)?;
         if self.cached_job_state(id).is_some() {
             let state = self.job_state(id).await?;
-            return state
-                .map(Acceptance::Existing)
-                .ok_or(SubmissionError::Unavailable);
+            return Ok(Acceptance::Existing(state.ok_or(StateUnavailable)?));
         }
         let mut spec = self.admit(submission)?;
         if !self.watch_cache.is_current() {
-            return Err(SubmissionError::Unavailable);
+            return Err(StateUnavailable.into());
         }
         let names = submission.dependencies.as_deref().unwrap_or_default();
         if !names.is_empty() {
@@ -154,9 +106,10 @@
         let write_delay_us = self.watch_cache.client().write_delay();
         if write_delay_us > MAX_WRITE_DELAY {
             tracing::debug!(write_delay_us, "submission deferred, write queue too long");
-            return Err(SubmissionError::Overloaded);
+            return Err(RefusalReason::WriteQueueFull.into());
         }
-        self.check_memory(&spec)?;
+        self.check_memory(&spec)
+            .map_err(RefusalReason::MemoryExhausted)?;
         self.write_job(submission, &spec).await
     }
 
@@ -184,18 +137,15 @@
     /// Validates a submission against the settings and the machine types.
     fn admit(&self, submission: &Submission) -> Result<JobSpec, SubmissionError> {
         if !self.watch_cache.loaded() {
-            return Err(SubmissionError::Unavailable);
+            return Err(StateUnavailable.into());
         }
         let view = self.watch_cache.view();
-        if view.machine_types.is_empty() {
-            return Err(SubmissionError::Unavailable);
+        let types = &view.machine_types;
+        if types.is_empty() {
+            return Err(RefusalReason::Undecided("the machine types are not known").into());
         }
-        Ok(validate(
-            submission,
-            &self.settings,
-            &view.machine_types,
-            wall_clock_now(),
-        )?)
+        let spec = validate(submission, &self.settings, types, wall_clock_now());
+        Ok(spec.map_err(RefusalReason::Inadmissible)?)
     }
 
     /// Checks the dependencies of a submission and returns those that have to be stored.
@@ -206,8 +156,11 @@
     ) -> Result<Vec<JobId>, SubmissionError> {
         // A controller of the previous version would start the job at once, so dependencies are not
         // accepted until every controller runs a newer version.
-        if self.watch_cache.view().layout.is_none() || !self.watch_cache.is_current() {
-            return Err(SubmissionError::Unavailable);
+        if self.watch_cache.view().layout.is_none() {
+            return Err(RefusalReason::Undecided("no layout with dependencies is in force").into());
+        }
+        if !self.watch_cache.is_current() {
+            return Err(StateUnavailable.into());
         }
         let unknown = match check_dependencies(&self.watch_cache.view(), id, names) {
             DependencyCheck::Accepted(dependencies) => return Ok(dependencies),
@@ -231,19 +184,19 @@
             for dependency in unknown.iter().take(MAX_DEPENDENCY_READS) {
                 let _ = self.watch_cache.read_finished_job(dependency).await;
             }
-            return Err(SubmissionError::Unavailable);
+            return Err(RefusalReason::Undecided("not all dependencies are read").into());
         }
         let mut missing = false;
         for dependency in unknown {
             match self.watch_cache.read_finished_job(dependency).await {
                 Ok(finished_job) => missing |= finished_job.is_none(),
-                Err(_) => return Err(SubmissionError::Unavailable),
+                Err(_) => return Err(StateUnavailable.into()),
             }
         }
         // A job without a final state is either among the unfinished jobs, which a read that begins now
         // returns, or was never accepted.
         if missing && !self.watch_cache.linearizable_read().await {
-            return Err(SubmissionError::Unavailable);
+            return Err(StateUnavailable.into());
         }
         Ok(())
     }
@@ -263,7 +216,7 @@
                 spec.clone(),
                 self.transaction_limits(),
             );
-            let transactions = transactions.ok_or(SubmissionError::TooLarge)?;
+            let transactions = transactions.ok_or(RefusalReason::RecordTooLarge)?;
             match self.send_transactions(id, transactions).await? {
                 WriteOutcome::Created => {
                     let (class, dependencies) = (&submission.class, &submission.dependencies);
@@ -274,7 +227,7 @@
                 WriteOutcome::Retry => {}
             }
         }
-        Err(SubmissionError::Unavailable)
+        Err(StateUnavailable.into())
     }
 
     /// Sends the transactions of an acceptance in order, up to the first one that conflicts or fails.
@@ -296,12 +249,18 @@
                     return match self.job_state(id).await? {
                         Some(state) => Ok(WriteOutcome::Existing(state)),
                         None if !writes_record => Ok(WriteOutcome::Retry),
-                        None => Err(SubmissionError::Unavailable),
+                        None => Err(StateUnavailable.into()),
                     };
                 }
-                TransactionOutcome::Rejected(429) => return Err(SubmissionError::Overloaded),
+                TransactionOutcome::Rejected(429) => {
+                    return Err(RefusalReason::WriteQueueFull.into());
+                }
+                TransactionOutcome::Rejected(400) => {
+                    let missing = "the state service does not take the record";
+                    return Err(RefusalReason::Undecided(missing).into());
+                }
                 TransactionOutcome::Rejected(_) | TransactionOutcome::Unknown => {
-                    return Err(SubmissionError::Unavailable);
+                    return Err(StateUnavailable.into());
                 }
             }
         }
@@ -314,12 +273,24 @@
     let dependencies = submission.dependencies.iter().flatten();
     let mut ids = dependencies.chain([&submission.id]);
     match ids.find(|id| !is_valid_job_id(id)) {
-        Some(id) => Err(SubmissionError::Malformed(format!("no job id: {id:.40}"))),
+        Some(id) => Err(RefusalReason::Malformed(format!("no job id: {id:.40}")).into()),
         None => Ok(()),
     }
 }
 
 /// Returns the error for dependencies with which the job can never run.
 fn infeasible_job(reason: &'static str) -> SubmissionError {
-    AdmissionError::Infeasible(reason).into()
+    RefusalReason::Inadmissible(AdmissionError::Infeasible(reason)).into()
+}
+
+/// Returns the response for a job that was accepted by this request.
+fn created_response(id: String) -> Response {
+    let state = JobAnswer {
+        id,
+        status: Status::Pending,
+        done: 0,
+        running: 0,
+        dependencies: Vec::new(),
+    };
+    Response::with_body(201, &state)
 }
--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -103,6 +103,12 @@
         }
     }
 
+    /// Returns the time that a request without writes would have to wait for the budget.
+    pub fn request_delay(&self) -> Micros {
+        let now = self.clock.now();
+        self.requests.borrow_mut().delay(now)
+    }
+
     /// Returns the time that a write would have to wait for the budget.
     pub fn write_delay(&self) -> Micros {
         let now = self.clock.now();
--- a/src/store/watch_cache.rs
+++ b/src/store/watch_cache.rs
@@ -3,17 +3,20 @@
 //! [`WatchCache`] owns the only [`ClusterState`] of the process, and no other code changes it. Changes come
 //! from the initial load (`initial_load`), the watch (this file), linearizable reads (`linearizable_read`),
 //! final states read individually (`final_states`), this controller's own transactions and peers'
-//! cancellation digests. The controller starts the three loops `watch_loop`, `linearizable_read_loop` and
-//! `dependency_lookup_loop`.
+//! cancellation digests. `acceptance_lookup` answers for jobs that are not in the state. The controller starts the
+//! loops `watch_loop`, `linearizable_read_loop`, `dependency_lookup_loop` and `acceptance_lookup_loop`.
 
+mod acceptance_lookup;
 mod change_notifier;
 mod final_states;
 mod initial_load;
 mod linearizable_read;
 mod outage_reporter;
 
+pub use acceptance_lookup::LookupError;
 pub use change_notifier::ChangeNotifier;
 
+use self::acceptance_lookup::LookupQueue;
 use self::outage_reporter::OutageReporter;
 use super::client::{StoreClient, TransactionOutcome};
 use super::cluster_state::ClusterState;
@@ -65,6 +68,8 @@
     /// Queue of callers that wait for a linearizable read, each represented by the channel for its result.
     read_requests: async_channel::Sender<async_channel::Sender<bool>>,
     read_request_queue: async_channel::Receiver<async_channel::Sender<bool>>,
+    /// Queue of callers that wait for a lookup of whether a job was accepted.
+    lookups: LookupQueue,
 }
 
 /// Times of one read of the log, according to the local clock.
@@ -94,6 +99,7 @@
             notifier: ChangeNotifier::default(),
             read_requests,
             read_request_queue,
+            lookups: LookupQueue::default(),
         }
     }
 
--- a/tests/common/state_service.rs
+++ b/tests/common/state_service.rs
@@ -30,7 +30,8 @@
 
 /// Loads the state of a controller, and keeps it current until the executor is dropped.
 pub(crate) async fn load(controller: &Rc<Controller>) {
-    let (watching, reading) = (controller.clone(), controller.clone());
+    let (watching, reading, looking_up) =
+        (controller.clone(), controller.clone(), controller.clone());
     let executor = &controller.executor;
     executor
         .spawn(async move { watching.watch_cache.watch_loop().await })
@@ -38,6 +39,9 @@
     executor
         .spawn(async move { reading.watch_cache.linearizable_read_loop().await })
         .detach();
+    executor
+        .spawn(async move { looking_up.acceptance_lookup_loop().await })
+        .detach();
     until_loaded(&controller.watch_cache).await;
 }
 
@@ -86,9 +90,9 @@
 
     fn answer_requests(&self, stream: &TcpStream, mut on_request: impl FnMut()) {
         let mut reader = BufReader::new(stream.try_clone().expect("a socket"));
-        while let Some(target) = read_target(&mut reader) {
+        while let Some(HttpRequest { target, .. }) = read_request(&mut reader) {
             on_request();
-            write_response(stream, &self.answer(&target));
+            write_response(stream, 200, &self.answer(&target));
         }
     }
 
@@ -146,8 +150,14 @@
     }
 }
 
-/// Reads a request and returns its target; `None` if the connection was closed.
-fn read_target(reader: &mut BufReader<TcpStream>) -> Option<String> {
+/// Target and body of a request.
+pub(crate) struct HttpRequest {
+    pub(crate) target: String,
+    pub(crate) body: Vec<u8>,
+}
+
+/// Reads a request; `None` if the connection was closed.
+pub(crate) fn read_request(reader: &mut BufReader<TcpStream>) -> Option<HttpRequest> {
     let mut request_line = String::new();
     if reader.read_line(&mut request_line).unwrap_or(0) == 0 {
         return None;
@@ -160,13 +170,21 @@
         }
         header.clear();
     }
-    reader.read_exact(&mut vec![0; body_bytes]).expect("a body");
+    let mut body = vec![0; body_bytes];
+    reader.read_exact(&mut body).expect("a body");
     let target = request_line.split(' ').nth(1).expect("a target");
-    Some(target.to_string())
+    Some(HttpRequest {
+        target: target.to_string(),
+        body,
+    })
 }
 
-fn write_response(mut stream: &TcpStream, body: &[u8]) {
-    let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len());
+/// Writes a response with a body.
+pub(crate) fn write_response(mut stream: &TcpStream, status: u16, body: &[u8]) {
+    let head = format!(
+        "HTTP/1.1 {status} status\r\ncontent-length: {}\r\n\r\n",
+        body.len()
+    );
     // A client that has what it needs closes the connection early.
     let _ = stream.write_all(&[head.as_bytes(), body].concat());
 }
--- a/tests/memory/submissions.rs
+++ b/tests/memory/submissions.rs
@@ -82,7 +82,7 @@
         path: "/api/jobs".into(),
         body: Some(encode(&submission)),
     };
-    controller.handle_user_request(request).await
+    controller.handle_user_request(&request).await
 }
 
 /// Runs a test with a loaded controller of this memory.
