--- a/crates/base/src/wire/peer.rs
+++ b/crates/base/src/wire/peer.rs
@@ -84,6 +84,14 @@
     pub body: Vec<u8>,
     /// `Retry-After`: seconds after which the user may retry.
     pub retry_after: Option<u64>,
+    /// Whether a refused job is one that was never accepted. Earlier versions refuse some accepted jobs, and omit this
+    /// field.
+    #[serde(rename = "settled", default, skip_serializing_if = "is_false")]
+    pub acceptance_settled: bool,
+}
+
+fn is_false(flag: &bool) -> bool {
+    !flag
 }
 
 /// Encodes a message as MessagePack with field names.
--- a/src/jobs/api/forwarding.rs
+++ b/src/jobs/api/forwarding.rs
@@ -15,6 +15,9 @@
 /// itself before the user's request times out.
 const FORWARD_TIMEOUT: Micros = SECOND;
 
+/// Statuses with which a submission is refused for good.
+const REFUSAL_STATUSES: [u16; 2] = [400, 422];
+
 /// Returns whether a request body is a submission with dependencies.
 pub fn has_dependencies(body: &[u8]) -> bool {
     decode::<Submission>(body).is_ok_and(|submission| {
@@ -62,14 +65,18 @@
             .map(|peer| peer.address)
     }
 
-    /// Sends a request to a peer and returns its answer; `None` if the call fails or the answer cannot be
-    /// decoded.
+    /// Sends a request to a peer and returns its answer; `None` if the call fails, the answer cannot be decoded, or it is
+    /// a refusal of a job that may have been accepted.
     async fn forward(&self, address: SocketAddr, request: &ForwardedRequest) -> Option<Response> {
         let body = Some(pack(request));
         let call = self
             .http
             .call(address, Method::Post, FORWARD_PATH, body, FORWARD_TIMEOUT);
         let answer: ForwardedResponse = unpack(&call.await.ok()?.body)?;
+        let is_refusal = REFUSAL_STATUSES.contains(&answer.status);
+        if is_refusal && !answer.acceptance_settled {
+            return None;
+        }
         Some(Response {
             status: answer.status,
             body: answer.body,
@@ -99,6 +106,7 @@
                 status: response.status,
                 body: response.body,
                 retry_after: response.retry_after,
+                acceptance_settled: true,
             }),
             retry_after: None,
         }
--- a/tests/golden.rs
+++ b/tests/golden.rs
@@ -180,6 +180,7 @@
     golden.check_peer::<CancellationDigest>("word", FullAndSparse);
     golden.check_peer::<ForwardedRequest>("forward", Full);
     golden.check_peer::<ForwardedResponse>("forwarded", FullAndSparse);
+    golden.check_peer::<ForwardedResponse>("forwarded_settled", Full);
 }
 
 fn check_stored_values(golden: &GoldenFiles) {
--- a/tests/repeated_submissions/main.rs
+++ b/tests/repeated_submissions/main.rs
@@ -4,6 +4,7 @@
 #[path = "../common/mod.rs"]
 mod common;
 mod cost;
+mod forwarding;
 mod refusals;
 mod store;
 mod world;
