--- a/crates/base/src/wire/server.rs
+++ b/crates/base/src/wire/server.rs
@@ -23,6 +23,8 @@
     pub path: String,
     /// Body; `None` if it exceeds the size limit.
     pub body: Option<Vec<u8>>,
+    /// Start of a body that exceeds the size limit, as far as it arrived in time.
+    pub body_start: Vec<u8>,
 }
 
 /// HTTP response that a handler returns.
@@ -211,36 +213,57 @@
         HEARTBEAT_PATH => MAX_HEARTBEAT_BYTES,
         _ => MAX_BODY_BYTES,
     };
-    let body = read_body(&mut head, max_bytes).await.ok()?;
+    let (body, body_start) = match read_body(&mut head, max_bytes).await.ok()? {
+        ReceivedBody::Complete(body) => (Some(body), Vec::new()),
+        ReceivedBody::TooLarge { start } => (None, start),
+    };
     // The rest of a body that exceeds the size limit is not read, so the connection can't be reused.
     let close = close || body.is_none();
     Some(ReceivedRequest {
-        request: Request { method, path, body },
+        request: Request {
+            method,
+            path,
+            body,
+            body_start,
+        },
         close,
     })
 }
 
-/// Reads the body of a request; `None` if it exceeds the size limit. Fails if the body is truncated or late.
+/// Body of a request, as far as it is read.
+enum ReceivedBody {
+    Complete(Vec<u8>),
+    TooLarge { start: Vec<u8> },
+}
+
+/// Reads the body of a request up to the size limit. Fails if a body within the limit is truncated or late.
 async fn read_body(
     head: &mut http_types::Request,
     max_bytes: usize,
-) -> std::io::Result<Option<Vec<u8>>> {
+) -> std::io::Result<ReceivedBody> {
     let declared_length = head.len();
-    if declared_length.is_some_and(|length| length > max_bytes) {
-        return Ok(None);
-    }
+    let declared_too_large = declared_length.is_some_and(|length| length > max_bytes);
+    let read_bytes = if declared_too_large {
+        MAX_BODY_BYTES
+    } else {
+        max_bytes + 1
+    };
     let mut bytes = Vec::new();
-    let mut body = head.take_body().take(max_bytes as u64 + 1);
-    body.read_to_end(&mut bytes)
-        .or(async {
-            Timer::after(to_duration(BODY_TIMEOUT)).await;
-            Err(std::io::ErrorKind::TimedOut.into())
-        })
-        .await?;
+    let mut body = head.take_body().take(read_bytes as u64);
+    let read = body.read_to_end(&mut bytes).or(async {
+        Timer::after(to_duration(BODY_TIMEOUT)).await;
+        Err(std::io::ErrorKind::TimedOut.into())
+    });
+    let read = read.await;
+    if declared_too_large || bytes.len() > max_bytes {
+        bytes.truncate(max_bytes);
+        return Ok(ReceivedBody::TooLarge { start: bytes });
+    }
+    read?;
     if declared_length.is_some_and(|length| length != bytes.len()) {
         return Err(std::io::ErrorKind::UnexpectedEof.into());
     }
-    Ok((bytes.len() <= max_bytes).then_some(bytes))
+    Ok(ReceivedBody::Complete(bytes))
 }
 
 async fn write_response(
--- a/crates/base/src/wire/server/tests.rs
+++ b/crates/base/src/wire/server/tests.rs
@@ -33,3 +33,28 @@
         }
     }));
 }
+
+/// Guards against a submission above the size limit whose job cannot be told any more: it may be a repeated one.
+#[test]
+fn start_of_a_body_above_the_size_limit_is_kept() {
+    let executor = Rc::new(LocalExecutor::new());
+    async_io::block_on(executor.run(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+        let address = listener.local_addr().expect("address");
+        let answer =
+            |request: Request| async move { Response::with_body(200, &request.body_start.len()) };
+        let server = serve(executor.clone(), listener, Rc::default(), 10, answer);
+        executor.spawn(server).detach();
+        let client = Client::new(10);
+        for (bytes, kept) in [
+            (MAX_BODY_BYTES, 0),
+            (MAX_BODY_BYTES + 1, MAX_BODY_BYTES),
+            (3 * MAX_BODY_BYTES, MAX_BODY_BYTES),
+        ] {
+            let body = Some(vec![0; bytes]);
+            let reply = client.call(address, Method::Post, "/api/jobs", body, 5 * SECOND);
+            let reply = reply.await.expect("a reply").ok::<usize>();
+            assert_eq!(reply.expect("a length"), kept, "{bytes} bytes");
+        }
+    }));
+}
--- a/crates/base/src/wire/user.rs
+++ b/crates/base/src/wire/user.rs
@@ -3,7 +3,12 @@
 //! `serde` attributes map each wire name (`shape`, `rank`, `shards`, `bundle`, `loaners`, ...) to a standard term, here
 //! only.
 
-use serde::{Deserialize, Serialize};
+use serde::de::{Error, IgnoredAny, MapAccess, Visitor};
+use serde::{Deserialize, Deserializer, Serialize};
+use std::fmt;
+
+/// Name of the field of a submission with the job's id.
+const JOB_ID_FIELD: &str = "id";
 
 /// Body of a submission: POST to the collection.
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -147,14 +152,39 @@
     })
 }
 
-/// Returns the job id in a body that is not a valid submission, if the body contains one.
+/// Returns the job id in a body that is not a valid submission, if the body contains one before the point from which on
+/// it cannot be decoded.
 pub fn job_id_in_body(body: &[u8]) -> Option<String> {
-    #[derive(Deserialize)]
-    struct OnlyId {
-        /// Job id.
-        id: String,
+    super::decode(body).ok().map(|FirstJobId(id)| id)
+}
+
+/// The first job id in a map. What follows it is not decoded.
+struct FirstJobId(String);
+
+impl<'de> Deserialize<'de> for FirstJobId {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<FirstJobId, D::Error> {
+        deserializer.deserialize_map(FirstJobIdVisitor)
+    }
+}
+
+struct FirstJobIdVisitor;
+
+impl<'de> Visitor<'de> for FirstJobIdVisitor {
+    type Value = FirstJobId;
+
+    fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("a submission")
+    }
+
+    fn visit_map<A: MapAccess<'de>>(self, mut fields: A) -> Result<FirstJobId, A::Error> {
+        while let Some(name) = fields.next_key::<String>()? {
+            if name == JOB_ID_FIELD {
+                return fields.next_value().map(FirstJobId);
+            }
+            fields.next_value::<IgnoredAny>()?;
+        }
+        Err(A::Error::missing_field(JOB_ID_FIELD))
     }
-    super::decode(body).ok().map(|body: OnlyId| body.id)
 }
 
 /// Resource under the job prefix.
--- a/src/jobs/api/forwarding.rs
+++ b/src/jobs/api/forwarding.rs
@@ -98,6 +98,7 @@
             method,
             path: forwarded.path,
             body: Some(forwarded.body),
+            body_start: Vec::new(),
         };
         let response = self.handle_user_request(&request).await;
         Response {
--- a/src/jobs/api/mod.rs
+++ b/src/jobs/api/mod.rs
@@ -46,7 +46,7 @@
     /// may be able to.
     async fn answer_user_request(&self, request: &Request) -> Result<Response, StateUnavailable> {
         match (parse_path(&request.path), request.method) {
-            (Some(Route::Submit), Method::Post) => self.submit(request.body.as_deref()).await,
+            (Some(Route::Submit), Method::Post) => self.submit(request).await,
             (Some(Route::Job(id)), Method::Get) => self.handle_job_state_request(id).await,
             (Some(Route::Cancel(id)), Method::Post) => self.cancel(id).await,
             (Some(_), _) => Ok(Response::status(405)),
--- a/src/jobs/api/refusal.rs
+++ b/src/jobs/api/refusal.rs
@@ -16,9 +16,9 @@
 /// Reason to refuse or to defer a job that was never accepted.
 #[derive(Debug, thiserror::Error)]
 pub(super) enum RefusalReason {
-    /// 400: the body is cut short or too large.
-    #[error("the body is cut short or larger than 64 KiB")]
-    BodyUnreadable,
+    /// 400: the body exceeds the size limit.
+    #[error("the body is larger than 64 KiB")]
+    BodyTooLarge,
     /// 400: the body cannot be decoded as a submission, or an id is invalid.
     #[error("{0}")]
     Malformed(String),
@@ -43,7 +43,7 @@
     /// Returns whether the same submission may be accepted later.
     fn is_temporary(&self) -> bool {
         match self {
-            RefusalReason::BodyUnreadable
+            RefusalReason::BodyTooLarge
             | RefusalReason::Malformed(_)
             | RefusalReason::Inadmissible(_)
             | RefusalReason::RecordTooLarge => false,
@@ -57,7 +57,7 @@
     fn response(&self) -> Result<Response, StateUnavailable> {
         let error = |status| Ok(Response::error(status, &self.to_string()));
         match self {
-            RefusalReason::BodyUnreadable
+            RefusalReason::BodyTooLarge
             | RefusalReason::Malformed(_)
             | RefusalReason::Inadmissible(AdmissionError::Malformed(_))
             | RefusalReason::RecordTooLarge => error(400),
--- a/src/jobs/api/submission.rs
+++ b/src/jobs/api/submission.rs
@@ -13,7 +13,7 @@
 use crate::store::keys;
 use crate::time::{Micros, SECOND, wall_clock_now};
 use crate::wire::decode;
-use crate::wire::server::Response;
+use crate::wire::server::{Request, Response};
 use crate::wire::state::Transaction;
 use crate::wire::user::{JobAnswer, Status, Submission, is_valid_job_id, job_id_in_body};
 
@@ -65,10 +65,13 @@
 }
 
 impl Controller {
-    /// Handles a submission; `None` is a body that could not be read.
-    pub(super) async fn submit(&self, body: Option<&[u8]>) -> Result<Response, StateUnavailable> {
-        let Some(body) = body else {
-            return self.refuse(None, RefusalReason::BodyUnreadable).await;
+    /// Handles a submission.
+    pub(super) async fn submit(&self, request: &Request) -> Result<Response, StateUnavailable> {
+        let Some(body) = &request.body else {
+            let id = job_id_in_body(&request.body_start);
+            return self
+                .refuse(id.as_deref(), RefusalReason::BodyTooLarge)
+                .await;
         };
         let submission: Submission = match decode(body) {
             Ok(submission) => submission,
--- a/tests/memory/submissions.rs
+++ b/tests/memory/submissions.rs
@@ -81,6 +81,7 @@
         method: Method::Post,
         path: "/api/jobs".into(),
         body: Some(encode(&submission)),
+        body_start: Vec::new(),
     };
     controller.handle_user_request(&request).await
 }
--- a/tests/repeated_submissions/forwarding.rs
+++ b/tests/repeated_submissions/forwarding.rs
@@ -57,6 +57,7 @@
             method: Method::Post,
             path: "/api/jobs".into(),
             body: Some(encode(&submission)),
+            body_start: Vec::new(),
         };
         let answer = world
             .controller
--- a/tests/repeated_submissions/refusals.rs
+++ b/tests/repeated_submissions/refusals.rs
@@ -7,6 +7,8 @@
 };
 use coppergw::jobs::model::FinishedJob;
 use coppergw::store::keys;
+use coppergw::wire::encode;
+use coppergw::wire::server::Request;
 use coppergw::wire::state::{Mutation, Transaction};
 use coppergw::wire::user::Status;
 use http_types::Method;
@@ -118,6 +120,31 @@
     RefusalCase::new(422, set("rigs", json!(["gone"]))).check(|_| {});
 }
 
+/// Guards against 400 for an accepted job whose repeated submission cannot be decoded to its end, or is too large.
+#[test]
+fn accepted_job_is_answered_with_its_state_if_its_body_is_cut_off_or_too_large() {
+    World::run(
+        service_state(),
+        |settings| settings,
+        |world| async move {
+            for (id, status) in [(ACCEPTED_JOBS[0].id, 200), (NEW_JOB, 400)] {
+                let mut body = encode(&submission(id, "batch"));
+                body.truncate(body.len() / 2);
+                let cut_off = world.request(Method::Post, "/api/jobs", body.clone()).await;
+                assert_eq!(cut_off.status, status, "{id}, cut off");
+                let too_large = Request {
+                    method: Method::Post,
+                    path: "/api/jobs".into(),
+                    body: None,
+                    body_start: body,
+                };
+                let too_large = world.controller.handle_user_request(&too_large).await;
+                assert_eq!(too_large.status, status, "{id}, too large");
+            }
+        },
+    );
+}
+
 /// Guards against a refusal or an endless deferral of an accepted step of a pipeline because of its dependencies.
 #[test]
 fn accepted_step_of_a_pipeline_is_answered_with_its_state_whatever_its_dependencies() {
--- a/tests/repeated_submissions/world.rs
+++ b/tests/repeated_submissions/world.rs
@@ -149,6 +149,7 @@
             method,
             path: path.into(),
             body: Some(body),
+            body_start: Vec::new(),
         };
         self.controller.handle_user_request(&request).await
     }
