--- a/src/controller.rs
+++ b/src/controller.rs
@@ -57,6 +57,8 @@
     pub job_memory_budget: Option<JobMemoryBudget>,
     /// Submissions that were deferred because there was no memory for the job.
     pub memory_refusals: RefusalCounter,
+    /// Submissions of which it was not looked up whether they were accepted before.
+    pub skipped_lookups: RefusalCounter,
     milestones: RefCell<Vec<StartupMilestone>>,
 }
 
@@ -123,6 +125,7 @@
         Rc::new(Controller {
             job_memory_budget: JobMemoryBudget::new(settings.memory_mb),
             memory_refusals: RefusalCounter::default(),
+            skipped_lookups: RefusalCounter::default(),
             settings,
             policy,
             clock,
--- a/src/jobs/api/refusal.rs
+++ b/src/jobs/api/refusal.rs
@@ -105,7 +105,10 @@
                 Ok(response)
             }
             // Another controller would have to look the job up with the same budget.
-            Acceptance::NotLookedUp => Ok(service_unavailable()),
+            Acceptance::NotLookedUp => {
+                self.record_skipped_lookup();
+                Ok(service_unavailable())
+            }
         }
     }
 
@@ -117,6 +120,9 @@
         reason: &RefusalReason,
     ) -> Result<Acceptance, StateUnavailable> {
         if self.cached_job_state(id).is_none() {
+            if reason.is_temporary() && self.watch_cache.was_recently_absent(id) {
+                return Ok(Acceptance::Never);
+            }
             // A deferral may be repeated, so its lookup takes only requests that nothing else waits for.
             if reason.is_temporary() && self.watch_cache.client().request_delay() > 0 {
                 return Ok(Acceptance::NotLookedUp);
@@ -131,4 +137,14 @@
         let state = self.job_state(id).await?;
         Ok(Acceptance::Accepted(state.ok_or(StateUnavailable)?))
     }
+
+    /// Counts a submission that was not looked up. They are logged at an interval.
+    fn record_skipped_lookup(&self) {
+        if let Some(refused) = self.skipped_lookups.record(self.clock.now()) {
+            tracing::warn!(
+                refused,
+                "submissions refused with 503, too few requests for lookups"
+            );
+        }
+    }
 }
--- a/src/store/watch_cache.rs
+++ b/src/store/watch_cache.rs
@@ -12,11 +12,12 @@
 mod initial_load;
 mod linearizable_read;
 mod outage_reporter;
+mod recent_absences;
 
 pub use acceptance_lookup::LookupError;
 pub use change_notifier::ChangeNotifier;
 
-use self::acceptance_lookup::LookupQueue;
+use self::acceptance_lookup::AcceptanceLookups;
 use self::outage_reporter::OutageReporter;
 use super::client::{StoreClient, TransactionOutcome};
 use super::cluster_state::ClusterState;
@@ -68,8 +69,8 @@
     /// Queue of callers that wait for a linearizable read, each represented by the channel for its result.
     read_requests: async_channel::Sender<async_channel::Sender<bool>>,
     read_request_queue: async_channel::Receiver<async_channel::Sender<bool>>,
-    /// Queue of callers that wait for a lookup of whether a job was accepted.
-    lookups: LookupQueue,
+    /// Lookups of whether jobs were accepted.
+    lookups: AcceptanceLookups,
 }
 
 /// Times of one read of the log, according to the local clock.
@@ -99,7 +100,7 @@
             notifier: ChangeNotifier::default(),
             read_requests,
             read_request_queue,
-            lookups: LookupQueue::default(),
+            lookups: AcceptanceLookups::default(),
         }
     }
 
--- a/src/store/watch_cache/acceptance_lookup.rs
+++ b/src/store/watch_cache/acceptance_lookup.rs
@@ -2,6 +2,7 @@
 //! service serves all callers that were waiting when it was sent, and requests are sent at an interval, so that a
 //! flood of lookups takes a fixed share of the request budget.
 
+use super::recent_absences::RecentAbsences;
 use super::{WatchCache, sleep};
 use crate::jobs::model::JobId;
 use crate::store::client::TransactionOutcome;
@@ -10,6 +11,7 @@
 use crate::wire::state::{Precondition, Transaction};
 use async_io::Timer;
 use futures_lite::FutureExt;
+use std::cell::RefCell;
 use std::collections::BTreeMap;
 
 /// Pause between two batches of lookups. All callers that arrive during the pause share the next batch.
@@ -41,16 +43,21 @@
     result: ResultSender,
 }
 
-/// Queue of callers that wait for a lookup.
-pub(super) struct LookupQueue {
+/// Callers that wait for a lookup, and results of recent ones.
+pub(super) struct AcceptanceLookups {
     sender: async_channel::Sender<AcceptanceLookup>,
     receiver: async_channel::Receiver<AcceptanceLookup>,
+    pub(super) recent_absences: RefCell<RecentAbsences>,
 }
 
-impl Default for LookupQueue {
-    fn default() -> LookupQueue {
+impl Default for AcceptanceLookups {
+    fn default() -> AcceptanceLookups {
         let (sender, receiver) = async_channel::bounded(MAX_WAITING_LOOKUPS);
-        LookupQueue { sender, receiver }
+        AcceptanceLookups {
+            sender,
+            receiver,
+            recent_absences: RefCell::default(),
+        }
     }
 }
 
@@ -137,6 +144,13 @@
         answer.or(timeout).await
     }
 
+    /// Returns whether a recent lookup found that a job was never accepted. For jobs that are not in the state; sufficient
+    /// for a deferral only, because the watch may not have delivered the acceptance yet.
+    pub fn was_recently_absent(&self, id: &str) -> bool {
+        let recent_absences = self.lookups.recent_absences.borrow();
+        recent_absences.contains(id, self.clock.now())
+    }
+
     /// Executes lookups while the controller runs. `max_preconditions` is the largest number of preconditions of a
     /// transaction under every limit that the state service may have.
     pub async fn acceptance_lookup_loop(&self, max_preconditions: usize) {
@@ -161,13 +175,24 @@
     /// the service may name fewer keys than those that exist.
     async fn look_up(&self, mut batch: LookupBatch) {
         while !batch.0.is_empty() {
+            let sent_at = self.clock.now();
             let outcome = self.client.transaction(&batch.absence_check()).await;
             match outcome {
-                TransactionOutcome::Committed(_) => return batch.resolve_all(Ok(false)),
+                TransactionOutcome::Committed(_) => {
+                    self.record_absences(&batch, sent_at);
+                    return batch.resolve_all(Ok(false));
+                }
                 TransactionOutcome::Conflict(existing_keys)
                     if batch.resolve_accepted(&existing_keys) => {}
                 _ => return batch.resolve_all(Err(LookupError::Unavailable)),
             }
         }
     }
+
+    fn record_absences(&self, batch: &LookupBatch, now: Micros) {
+        let mut recent_absences = self.lookups.recent_absences.borrow_mut();
+        for id in batch.0.keys() {
+            recent_absences.record(id.clone(), now);
+        }
+    }
 }
--- a/src/store/watch_cache/initial_load.rs
+++ b/src/store/watch_cache/initial_load.rs
@@ -10,6 +10,7 @@
 impl WatchCache {
     /// Reads the whole state. Keys that no longer exist are removed from the state.
     pub(super) async fn load(&self) -> Result<(), WireError> {
+        self.lookups.recent_absences.borrow_mut().clear();
         let mut revisions = RevisionRange::EMPTY;
         for prefix in keys::INITIAL_LOAD_PREFIXES {
             revisions = revisions.union(self.load_prefix(prefix).await?);
--- a/tests/repeated_submissions/cost.rs
+++ b/tests/repeated_submissions/cost.rs
@@ -1,6 +1,8 @@
 //! Requests to the state service that a flood of refused submissions costs.
 
-use crate::world::{ANNOUNCED_LIMITS, World, machine_type_names, service_state, submission};
+use crate::world::{
+    ANNOUNCED_LIMITS, NEW_JOB, World, machine_type_names, service_state, submission,
+};
 use async_io::Timer;
 use coppergw::wire::state::{Mutation, Transaction};
 use serde_json::{Value, json};
@@ -13,6 +15,11 @@
 /// Largest number of requests per second that lookups may take, whatever the number of submissions.
 const MAX_LOOKUPS_PER_S: f64 = 5.0;
 
+/// Settings with less memory than a job takes.
+const NO_MEMORY: &str = "[deployment.machine_limits]\nram_mb = 0.001";
+/// Time within which a watch delivers a change.
+const WATCH_DELAY: Duration = Duration::from_millis(500);
+
 /// What a flood of submissions cost, and how it was answered.
 struct FloodReport {
     requests: usize,
@@ -79,15 +86,32 @@
         all_types,
     );
     let limits = "[deployment.machine_limits]";
-    let no_memory = "[deployment.machine_limits]\nram_mb = 0.001";
-    check_flood("no memory", limits, no_memory, 429, |_| {});
+    check_flood("no memory", limits, NO_MEMORY, 429, |_| {});
+}
+
+/// Guards against a lookup for each retry of a deferred submission, and against a retry that is deferred although the
+/// job was accepted meanwhile.
+#[test]
+fn retries_of_a_deferred_submission_cost_nothing() {
+    let edit = |settings: String| settings.replace("[deployment.machine_limits]", NO_MEMORY);
+    World::run(service_state(), edit, |world| async move {
+        let submission = submission(NEW_JOB, "batch");
+        assert_eq!(world.submit(&submission).await.status, 429);
+        world.service.state().requests = 0;
+        for _ in 0..10 {
+            assert_eq!(world.submit(&submission).await.status, 429);
+        }
+        assert_eq!(world.service.state().requests, 0);
+        world.accept_elsewhere(NEW_JOB);
+        Timer::after(WATCH_DELAY).await;
+        assert_eq!(world.submit(&submission).await.status, 200);
+    });
 }
 
 /// Guards against lookups of deferred submissions that take requests which others wait for.
 #[test]
 fn flood_of_deferred_submissions_costs_nothing_while_the_request_budget_is_exhausted() {
-    let no_memory = "[deployment.machine_limits]\nram_mb = 0.001";
-    let edit = |settings: String| settings.replace("[deployment.machine_limits]", no_memory);
+    let edit = |settings: String| settings.replace("[deployment.machine_limits]", NO_MEMORY);
     World::run(service_state(), edit, |world| async move {
         let client = world.controller.watch_cache.client();
         client.set_rate_limits(0.001, 1.0);
@@ -101,7 +125,7 @@
             world.controller.executor.spawn(request).detach();
         }
         Timer::after(FLOOD_INTERVAL).await;
-        let submission = submission("req-900000", "batch");
+        let submission = submission(NEW_JOB, "batch");
         world.service.state().requests = 0;
         assert_eq!(world.submit(&submission).await.status, 503);
         assert_eq!(world.service.state().requests, 0);
