Store, settings: the capacity of a machine and the preconditions of a mutation are defined once

Cause: the resources of a machine's type were looked up alike in three places, and the number of preconditions that the state service allows for a mutation stood in the settings and in the commit module.

Change: ClusterState::capacity, and one constant.

--- a/crates/base/src/settings.rs
+++ b/crates/base/src/settings.rs
@@ -90,7 +90,7 @@
 }
 
 /// Preconditions that the state service allows in a transaction for each mutation of the largest transaction.
-const PRECONDITIONS_PER_MUTATION: usize = 4;
+pub const PRECONDITIONS_PER_MUTATION: usize = 4;
 
 /// Limits of the state service.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/src/jobs/commit/limits.rs
+++ b/src/jobs/commit/limits.rs
@@ -1,13 +1,12 @@
 //! Limits of one transaction, and the stored forms that it may write.
 
+use crate::settings::PRECONDITIONS_PER_MUTATION;
 use crate::store::cluster_state::Job;
 use crate::time::Micros;
 
-/// Largest number of preconditions of a transaction, as a multiple of its largest number of mutations. A
-/// limit of the state service.
-const PRECONDITIONS_PER_MUTATION: usize = 4;
-/// The same for transactions that are merged from several jobs or write blocks in plain form: a quarter of
-/// the preconditions is reserved for those that are added after the check.
+/// Largest number of preconditions, as a multiple of the largest number of mutations, of transactions that are merged
+/// from several jobs or write blocks in plain form: a quarter of the preconditions is reserved for those that are added
+/// after the check.
 const RESERVED_PRECONDITIONS_PER_MUTATION: usize = 3;
 
 /// Limits of a transaction, and the stored forms that may be written at present.
--- a/src/scheduling/overfull.rs
+++ b/src/scheduling/overfull.rs
@@ -6,7 +6,7 @@
 use super::draining::stop_gang;
 use crate::ids::MachineId;
 use crate::jobs::commit::JobChange;
-use crate::jobs::model::{JobId, Placement, Resources};
+use crate::jobs::model::{JobId, Placement};
 use crate::store::cluster_state::{ClusterState, Job};
 use crate::wire::user::{JobKind, Priority};
 use foldhash::HashSet;
@@ -81,8 +81,7 @@
 /// those that have ended although their blocks do not record it yet, do not remain.
 fn excess_bytes(input: &SchedulingInput<'_>, machine: &MachineId) -> i64 {
     let view = input.view;
-    let record = view.machines.get(machine);
-    let Some(machine_type) = record.and_then(|m| view.machine_types.get(&m.machine_type)) else {
+    let Some(capacity) = view.capacity(machine) else {
         return 0;
     };
     let released = input.released_resources.get(machine);
@@ -92,7 +91,7 @@
         .map(|task| task.job.spec.resources.heartbeat_bytes)
         .sum();
     view.usage(machine).used.heartbeat_bytes
-        - Resources::of_machine(machine_type).heartbeat_bytes
+        - capacity.heartbeat_bytes
         - released_bytes
         - stopping_bytes
 }
--- a/src/store/cluster_state/indexes.rs
+++ b/src/store/cluster_state/indexes.rs
@@ -125,13 +125,10 @@
             id,
             machine.is_some_and(not_accepting),
         );
-        let free = machine
-            .and_then(|machine| self.machine_types.get(&machine.machine_type))
-            .map(|machine_type| {
-                let mut free = Resources::of_machine(machine_type);
-                free.subtract(&self.usage(id).used);
-                free
-            });
+        let free = self.capacity(id).map(|mut free| {
+            free.subtract(&self.usage(id).used);
+            free
+        });
         let overfull = free.is_some_and(|free| free.heartbeat_bytes < 0);
         set_member(&mut self.indexes.overfull, id, overfull);
         self.index_free_cpus(id, free.map(|free| free.cpus));
--- a/src/store/cluster_state/queries.rs
+++ b/src/store/cluster_state/queries.rs
@@ -2,7 +2,7 @@
 
 use super::{BlockPartKey, ClusterState, Indexes, Job};
 use crate::ids::MachineId;
-use crate::jobs::model::{JobId, MachineUsage, Placement};
+use crate::jobs::model::{JobId, MachineUsage, Placement, Resources};
 use crate::store::keys;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -29,6 +29,13 @@
         self.free_cpus_by_machine.get(id).copied()
     }
 
+    /// Returns the resources of a machine without tasks, or `None` if the machine or its type is not known.
+    pub fn capacity(&self, id: &MachineId) -> Option<Resources> {
+        let machine = self.machines.get(id)?;
+        let machine_type = self.machine_types.get(&machine.machine_type)?;
+        Some(Resources::of_machine(machine_type))
+    }
+
     /// Returns the indexes.
     pub fn indexes(&self) -> &Indexes {
         &self.indexes
--- a/src/workers/heartbeat_room.rs
+++ b/src/workers/heartbeat_room.rs
@@ -7,7 +7,7 @@
 
 use super::worker_state::{TaskAttempt, WorkerState};
 use crate::ids::MachineId;
-use crate::jobs::model::{JobId, Placement, Resources, parse_task};
+use crate::jobs::model::{JobId, Placement, parse_task};
 use crate::store::cluster_state::ClusterState;
 use crate::wire::MAX_BODY_BYTES;
 use crate::wire::message_sizes::largest_attempt_bytes;
@@ -112,11 +112,8 @@
 
 /// Returns the bytes that attempts may take in a heartbeat of a machine.
 fn capacity(view: &ClusterState, machine: &MachineId) -> i64 {
-    let record = view.machines.get(machine);
-    let machine_type = record.and_then(|record| view.machine_types.get(&record.machine_type));
-    machine_type.map_or(DEFAULT_CAPACITY, |machine_type| {
-        Resources::of_machine(machine_type).heartbeat_bytes
-    })
+    let capacity = view.capacity(machine);
+    capacity.map_or(DEFAULT_CAPACITY, |capacity| capacity.heartbeat_bytes)
 }
 
 /// Returns the most bytes that an attempt takes. A job that has ended is not in the view any more.
