Workers: commands and heartbeat answers in shorter functions; exits that are not placed are found in one place

Change: start_command, unplaced_exits, increment_token, observed and is_placed; handle_heartbeat and apply_periodic are split.

--- a/src/workers/commands.rs
+++ b/src/workers/commands.rs
@@ -32,8 +32,6 @@
 struct MessageContext<'a> {
     view: &'a ClusterState,
     channel: CommandChannel,
-    /// Whether the message may contain a `Forget`.
-    may_forget: bool,
     room: HeartbeatRoom,
     /// Number of starts for which the heartbeat has no room.
     withheld_starts: usize,
@@ -61,45 +59,47 @@
     let mut context = MessageContext {
         view,
         channel,
-        may_forget,
         room,
         withheld_starts: 0,
     };
-    let mut out = Vec::new();
-    for (key, observed) in &worker.tasks {
-        let wanted = placed
-            .get(key)
-            .is_some_and(|placement| worker.shows(placement, observed.attempt));
-        if !wanted {
-            out.extend(command_for_unwanted(
-                worker,
-                key,
-                observed,
-                context.may_forget,
-            ));
-        }
-    }
+    let mut out = commands_for_unwanted(worker, placed, may_forget);
     context.room.release_forgotten(view, &out);
     for (key, placement) in placed {
         if placement.session == worker.session {
             let stop = desired_stop(view, &key.0, placement);
-            out.extend(command_for_placed(
-                worker,
-                key,
-                placement,
-                stop,
-                &mut context,
-            ));
+            let command = command_for_placed(worker, key, placement, stop, &mut context);
+            out.extend(command);
         }
     }
     worker.outstanding.withheld_starts = context.withheld_starts;
+    retain_starts_of_placed_attempts(worker, placed);
+    out
+}
+
+/// Returns the commands for all tasks on the machine that their blocks do not place there.
+fn commands_for_unwanted(
+    worker: &WorkerState,
+    placed: &BTreeMap<(JobId, u32), Placement>,
+    may_forget: bool,
+) -> Vec<Command> {
+    let tasks = worker.tasks.iter();
+    tasks
+        .filter(|(key, observed)| !worker.is_placed(placed, key, observed.attempt))
+        .filter_map(|(key, observed)| command_for_unwanted(worker, key, observed, may_forget))
+        .collect()
+}
+
+/// Removes the starts sent in answers whose attempts are not placed on the machine any more.
+fn retain_starts_of_placed_attempts(
+    worker: &mut WorkerState,
+    placed: &BTreeMap<(JobId, u32), Placement>,
+) {
     let starts = &mut worker.outstanding.starts_in_response;
     starts.retain(|(job, index, attempt), _| {
         placed
             .get(&(job.clone(), *index))
             .is_some_and(|p| p.attempt == *attempt)
     });
-    out
 }
 
 impl MessageContext<'_> {
@@ -155,24 +155,16 @@
     context: &mut MessageContext<'_>,
 ) -> Option<Command> {
     let in_answer = context.channel == CommandChannel::HeartbeatAnswer;
-    let observed = worker.tasks.get(key);
-    let task = || task_name(&key.0, key.1);
-    let attempt = u64::from(placement.attempt);
-    match (observed, stop) {
+    let start = || (key.0.clone(), key.1, placement.attempt);
+    match (worker.tasks.get(key), stop) {
         (None, None) => {
-            let start = (key.0.clone(), key.1, placement.attempt);
+            let start = start();
             let is_on_its_way =
                 !in_answer && worker.outstanding.direct_starts.is_unacknowledged(&start);
-            if is_on_its_way || !context.takes_room(&start) {
+            if is_on_its_way {
                 return None;
             }
-            if in_answer {
-                record_start_in_response(worker, start);
-            }
-            Some(Command::Start {
-                task: task(),
-                attempt,
-            })
+            start_command(worker, start, context)
         }
         // An earlier command in the same answer makes the worker forget the old attempt.
         (Some(current), None)
@@ -181,22 +173,14 @@
                 && current.status == TaskStatus::Exited
                 && worker.may_forget(&key.0, key.1, current.attempt) =>
         {
-            let start = (key.0.clone(), key.1, placement.attempt);
-            if !context.takes_room(&start) {
-                return None;
-            }
-            record_start_in_response(worker, start);
-            Some(Command::Start {
-                task: task(),
-                attempt,
-            })
+            start_command(worker, start(), context)
         }
         (Some(current), Some(grace)) if current.attempt == placement.attempt => {
             let saves_checkpoint = current.status == TaskStatus::Saving && grace > 0;
             let needs_stop = current.status != TaskStatus::Exited && !saves_checkpoint;
             needs_stop.then(|| Command::Stop {
-                task: task(),
-                attempt,
+                task: task_name(&key.0, key.1),
+                attempt: u64::from(placement.attempt),
                 grace_period_s: to_secs(grace),
             })
         }
@@ -204,6 +188,26 @@
     }
 }
 
+/// Returns the command that starts an attempt if the machine's heartbeat has room for it, and records a start that is
+/// sent in the answer to a heartbeat.
+fn start_command(
+    worker: &mut WorkerState,
+    start: TaskAttempt,
+    context: &mut MessageContext<'_>,
+) -> Option<Command> {
+    if !context.takes_room(&start) {
+        return None;
+    }
+    let command = Command::Start {
+        task: task_name(&start.0, start.1),
+        attempt: u64::from(start.2),
+    };
+    if context.channel == CommandChannel::HeartbeatAnswer {
+        record_start_in_response(worker, start);
+    }
+    Some(command)
+}
+
 /// Records a start that is sent in the answer to the newest heartbeat.
 fn record_start_in_response(worker: &mut WorkerState, start: TaskAttempt) {
     let answered = worker.heartbeat.heartbeat_sequence;
--- a/src/workers/direct_starts.rs
+++ b/src/workers/direct_starts.rs
@@ -131,12 +131,9 @@
     /// Returns the direct starts that may have their effect yet: those of attempts that are not on the machine, and
     /// unacknowledged ones of attempts that have exited.
     fn pending_starts(&self) -> impl Iterator<Item = &DirectStart> {
-        let is_pending = |(job, index, attempt): &TaskAttempt, start: &DirectStart| {
-            let observed = self.tasks.get(&(job.clone(), *index));
-            match observed.filter(|observed| observed.attempt == *attempt) {
-                None => true,
-                Some(observed) => observed.status == TaskStatus::Exited && !start.acknowledged,
-            }
+        let is_pending = |attempt: &TaskAttempt, start: &DirectStart| match self.observed(attempt) {
+            None => true,
+            Some(observed) => observed.status == TaskStatus::Exited && !start.acknowledged,
         };
         let starts = self.outstanding.direct_starts.0.iter();
         starts
@@ -156,9 +153,18 @@
         }
         let needed =
             self.retained_attempts(placed).next().is_some() || self.blocked_by_direct_start();
-        if let Some(token) = self.token().incremented().filter(|_| needed) {
+        if needed {
+            self.increment_token();
+        }
+    }
+
+    /// Raises the token by one increment. Returns whether there was one left.
+    fn increment_token(&mut self) -> bool {
+        let raised = self.token().incremented();
+        if let Some(token) = raised {
             self.token_increments = token.increments;
         }
+        raised.is_some()
     }
 
     /// Raises the token for a direct call that forgets attempts, if any has exited and no task block places it on the
@@ -172,16 +178,8 @@
         if TokenFormat::in_use(view) == TokenFormat::Term || !self.fenced() {
             return false;
         }
-        let has_unplaced_exit = self.tasks.iter().any(|(key, observed)| {
-            let placement = placed.get(key);
-            observed.status == TaskStatus::Exited
-                && placement.is_none_or(|placement| !self.shows(placement, observed.attempt))
-        });
-        let raised = self.token().incremented().filter(|_| has_unplaced_exit);
-        if let Some(token) = raised {
-            self.token_increments = token.increments;
-        }
-        raised.is_some()
+        let has_unplaced_exit = self.unplaced_exits(placed).next().is_some();
+        has_unplaced_exit && self.increment_token()
     }
 
     /// Returns the number of starts that were sent and are recorded, whether or not they were executed.
@@ -193,13 +191,9 @@
     pub(super) fn unobserved_starts(&self) -> HashSet<TaskAttempt> {
         let direct = self.outstanding.direct_starts.attempts();
         let in_response = self.outstanding.starts_in_response.keys();
-        let is_observed = |(job, index, attempt): &TaskAttempt| {
-            let observed = self.tasks.get(&(job.clone(), *index));
-            observed.is_some_and(|observed| observed.attempt == *attempt)
-        };
         direct
             .chain(in_response)
-            .filter(|attempt| !is_observed(attempt))
+            .filter(|attempt| self.observed(attempt).is_none())
             .cloned()
             .collect()
     }
@@ -226,19 +220,41 @@
         &'a self,
         placed: &'a BTreeMap<(JobId, u32), Placement>,
     ) -> impl Iterator<Item = TaskAttempt> + 'a {
-        let exited = self
-            .tasks
+        self.unplaced_exits(placed)
+            .filter(|(job, index, attempt)| !self.may_forget(job, *index, *attempt))
+    }
+
+    /// Returns the exited attempts that no task block places on the machine.
+    fn unplaced_exits<'a>(
+        &'a self,
+        placed: &'a BTreeMap<(JobId, u32), Placement>,
+    ) -> impl Iterator<Item = TaskAttempt> + 'a {
+        let is_unplaced_exit = |key: &(JobId, u32), observed: &ObservedTask| {
+            observed.status == TaskStatus::Exited && !self.is_placed(placed, key, observed.attempt)
+        };
+        self.tasks
             .iter()
-            .filter(|(_, observed)| observed.status == TaskStatus::Exited);
-        exited
-            .filter(|(key, observed)| {
-                let placement = placed.get(*key);
-                placement.is_none_or(|placement| !self.shows(placement, observed.attempt))
-                    && !self.may_forget(&key.0, key.1, observed.attempt)
-            })
+            .filter(move |(key, observed)| is_unplaced_exit(key, observed))
             .map(|(key, observed)| (key.0.clone(), key.1, observed.attempt))
     }
 
+    /// Returns the task of the newest message that is this attempt.
+    fn observed(&self, (job, index, attempt): &TaskAttempt) -> Option<&ObservedTask> {
+        let observed = self.tasks.get(&(job.clone(), *index));
+        observed.filter(|observed| observed.attempt == *attempt)
+    }
+
+    /// Returns whether the task's block places an attempt of the newest message on the machine.
+    pub(super) fn is_placed(
+        &self,
+        placed: &BTreeMap<(JobId, u32), Placement>,
+        key: &(JobId, u32),
+        attempt: u32,
+    ) -> bool {
+        let placement = placed.get(key);
+        placement.is_some_and(|placement| self.shows(placement, attempt))
+    }
+
     /// Returns whether an attempt in the newest message is the one that a task block places on the machine.
     pub(super) fn shows(&self, placement: &Placement, attempt: u32) -> bool {
         placement.session == self.session && placement.attempt == attempt
--- a/src/workers/heartbeat_handler.rs
+++ b/src/workers/heartbeat_handler.rs
@@ -70,23 +70,14 @@
         let Some(term) = self.term(&view, shard) else {
             return self.redirect(&view, shard, &heartbeat, now);
         };
-        let (lease, cancel_within) = (self.settings.worker_lease, self.settings.cancel_within);
-        if !may_answer_heartbeats(lease, cancel_within, self.cancellation_watermark(), now) {
-            return Response::status(503);
-        }
-        if FencingToken::from_wire(heartbeat.fencing_token).term > term {
-            // The machine has a newer owner that this controller's view does not contain yet.
+        if !self.may_answer(&heartbeat, term, now) {
             return Response::status(503);
         }
-        let PeriodicAnswer {
-            outcome,
-            token,
-            commands,
-        } = self.apply_periodic(&view, &machine, term, &heartbeat, now);
-        let changed = outcome.changed;
-        self.record_task_outcomes(&machine, outcome, now);
+        let answer = self.apply_periodic(&view, &machine, term, &heartbeat, now);
+        let changed = answer.outcome.changed;
+        self.record_task_outcomes(&machine, answer.outcome, now);
         self.record_milestone(StartupMilestone::Heartbeat);
-        self.record_first_start(&commands);
+        self.record_first_start(&answer.commands);
         if changed || !view.machines.contains_key(&machine) {
             self.workers.changed.borrow_mut().insert(machine);
             self.watch_cache.notifier().notify();
@@ -94,13 +85,21 @@
         Response::with_body(
             200,
             &CommandBatch {
-                fencing_token: token.to_wire(TokenFormat::in_use(&view)),
+                fencing_token: answer.token.to_wire(TokenFormat::in_use(&view)),
                 session: None,
-                commands,
+                commands: answer.commands,
             },
         )
     }
 
+    /// Returns whether the owner of a shard with this term may answer a heartbeat: its view contains all cancellations
+    /// up to a recent enough time, and the machine has no newer owner that the view does not contain yet.
+    fn may_answer(&self, heartbeat: &Heartbeat, term: u64, now: Micros) -> bool {
+        let (lease, cancel_within) = (self.settings.worker_lease, self.settings.cancel_within);
+        may_answer_heartbeats(lease, cancel_within, self.cancellation_watermark(), now)
+            && FencingToken::from_wire(heartbeat.fencing_token).term <= term
+    }
+
     /// Applies a heartbeat that will be answered, and returns the content of the answer.
     fn apply_periodic(
         &self,
@@ -132,6 +131,21 @@
                 commands: Vec::new(),
             };
         }
+        let commands = self.commands_in_answer(view, machine, worker);
+        PeriodicAnswer {
+            outcome,
+            token: worker.token(),
+            commands,
+        }
+    }
+
+    /// Returns the commands for the answer to a heartbeat, as far as they fit, and records them.
+    fn commands_in_answer(
+        &self,
+        view: &ClusterState,
+        machine: &MachineId,
+        worker: &mut WorkerState,
+    ) -> Vec<Command> {
         let token_before = worker.token();
         let mut due = commands(view, machine, worker, CommandChannel::HeartbeatAnswer);
         worker.outstanding.quiescent = due.is_empty() && !worker.has_withheld_commands();
@@ -147,11 +161,7 @@
             channel: CommandChannel::HeartbeatAnswer,
             commands: &due,
         });
-        PeriodicAnswer {
-            outcome,
-            token: worker.token(),
-            commands: due,
-        }
+        due
     }
 
     /// Redirects a worker to the owner of its shard, or answers 503 if the owner is unknown.
