--- a/src/store/watch_cache/recent_absences.rs
+++ b/src/store/watch_cache/recent_absences.rs
@@ -7,9 +7,9 @@
 use std::collections::VecDeque;
 
 /// Time for which the result of a lookup is kept: users retry a submission for that long.
-const RETENTION: Micros = 60 * SECOND;
+pub(super) const RETENTION: Micros = 60 * SECOND;
 /// Largest number of jobs. The oldest entries are evicted first.
-const MAX_JOBS: usize = 4_096;
+pub(super) const MAX_JOBS: usize = 4_096;
 
 /// Jobs with the times of the lookups that found them never accepted, by the monotonic clock.
 #[derive(Default)]
--- a/tests/repeated_submissions/world.rs
+++ b/tests/repeated_submissions/world.rs
@@ -5,7 +5,7 @@
 use crate::store::{ServiceState, StateService};
 use async_executor::LocalExecutor;
 use coppergw::controller::Controller;
-use coppergw::jobs::model::{FinishedJob, JobRecord, TaskBlock};
+use coppergw::jobs::model::{FinishedJob, JobIdList, JobRecord, TaskBlock};
 use coppergw::membership::{LAYOUT_VERSION, LayoutVersion};
 use coppergw::policy::Policy;
 use coppergw::settings::Settings;
@@ -33,14 +33,28 @@
     pub(crate) id: &'static str,
     pub(crate) kind: &'static str,
     pub(crate) status: Status,
+    /// The job on which an unfinished step of a pipeline depends.
+    dependency: Option<&'static str>,
 }
 
 const fn accepted(id: &'static str, kind: &'static str, status: Status) -> AcceptedJob {
-    AcceptedJob { id, kind, status }
+    AcceptedJob {
+        id,
+        kind,
+        status,
+        dependency: None,
+    }
+}
+
+const fn accepted_step(id: &'static str, status: Status, dependency: &'static str) -> AcceptedJob {
+    AcceptedJob {
+        dependency: Some(dependency),
+        ..accepted(id, "batch", status)
+    }
 }
 
-/// Each kind of job with each end, and unfinished jobs.
-pub(crate) const ACCEPTED_JOBS: [AcceptedJob; 8] = [
+/// Each kind of job with each end, unfinished jobs, and unfinished steps of pipelines.
+pub(crate) const ACCEPTED_JOBS: [AcceptedJob; 11] = [
     accepted("req-000001", "batch", Status::Done),
     accepted("req-000002", "batch", Status::Cancelled),
     accepted("req-000003", "group", Status::Done),
@@ -49,8 +63,31 @@
     accepted("req-000006", "batch", Status::Pending),
     accepted("req-000007", "group", Status::Pending),
     accepted("req-000008", "standing", Status::Pending),
+    accepted_step("req-000011", Status::Pending, "req-000001"),
+    accepted_step("req-000012", Status::Pending, "req-000006"),
+    accepted_step("req-000013", Status::Cancelled, "req-000002"),
 ];
 
+impl AcceptedJob {
+    fn is_unfinished(&self) -> bool {
+        self.status == Status::Pending || self.dependency.is_some()
+    }
+
+    fn record(&self) -> JobRecord {
+        let mut spec = common::spec(JobKind::Array, 1);
+        spec.dependencies.jobs = JobIdList(self.dependency.into_iter().map(Into::into).collect());
+        JobRecord(spec, TaskBlock::default())
+    }
+
+    fn end(&self) -> FinishedJob {
+        FinishedJob {
+            cancelled: self.status == Status::Cancelled,
+            done: 1,
+            finished_at: 1,
+        }
+    }
+}
+
 /// Returns the names of all machine types of the cloud.
 pub(crate) fn machine_type_names() -> Vec<String> {
     let name = |number| format!("{number:0>MACHINE_TYPE_NAME_BYTES$}");
@@ -71,17 +108,10 @@
     };
     state.store.put(keys::LAYOUT.into(), &layout);
     for job in &ACCEPTED_JOBS {
-        let cancelled = job.status == Status::Cancelled;
-        if job.status == Status::Pending {
-            let record = JobRecord(common::spec(JobKind::Array, 1), TaskBlock::default());
-            state.store.put(keys::job(job.id), &record);
+        if job.is_unfinished() {
+            state.store.put(keys::job(job.id), &job.record());
         } else {
-            let end = FinishedJob {
-                cancelled,
-                done: 1,
-                finished_at: 1,
-            };
-            state.store.put(keys::finished_job(job.id), &end);
+            state.store.put(keys::finished_job(job.id), &job.end());
         }
     }
     state
