Pipelines: steps inherit priority and deadline from a job that is submitted after them

Callers saw: the steps of a pipeline kept their own priority and had no deadline, so that the pipeline's deadline did not count in their order, until the controllers restarted.

Cause: when a job is linked to its dependencies, only the job itself was recomputed. A last job is as urgent as it is by itself, nothing changed, and the propagation ended there. Only in the order of a load with the last job first did its dependencies inherit, which the existing test has.

Fix: the dependencies are recomputed as well.

Evidence: steps_inherit_from_a_job_that_is_submitted_after_them fails before (Normal where High is due) and passes now.

--- a/src/store/cluster_state/dependencies.rs
+++ b/src/store/cluster_state/dependencies.rs
@@ -85,7 +85,15 @@
                 .insert(id.clone());
         }
         self.refresh_readiness(vec![id.clone()]);
-        self.refresh_urgency(vec![id.clone()]);
+        self.refresh_urgency_of_pipeline(id);
+    }
+
+    /// Recomputes the priority and deadline of a job and of its dependencies, which inherit from it.
+    fn refresh_urgency_of_pipeline(&mut self, id: &JobId) {
+        let job = self.jobs.get(id);
+        let mut jobs = job.map_or_else(Vec::new, |job| job.dependencies.clone());
+        jobs.push(id.clone());
+        self.refresh_urgency(jobs);
     }
 
     /// Removes a job from the dependents of its dependencies.
