Pipelines: steps inherit nothing from a cancelled job

Callers saw: steps kept the priority and the deadline of a job after it was cancelled, as long as its record existed, and were placed before others for it.

Cause: a cancellation refreshed what the dependencies of the cancelled job inherit only if that job had dependents itself, and never for jobs that are cancelled with a dependency.

Fix: both are refreshed.

Evidence: steps_inherit_nothing_from_a_cancelled_job fails before (High where Normal is due) and passes now.

--- a/src/store/cluster_state/cancellations.rs
+++ b/src/store/cluster_state/cancellations.rs
@@ -77,11 +77,9 @@
         let dependencies = job.dependencies.clone();
         self.changed_machines.extend(machines);
         self.index_job(id);
-        if change == CancellationChange::Changed
-            && let Some(dependents) = self.dependents.get(id)
-        {
-            let dependents: Vec<JobId> = dependents.iter().cloned().collect();
-            self.refresh_readiness(dependents);
+        if change == CancellationChange::Changed {
+            let dependents = self.dependents.get(id).into_iter().flatten();
+            self.refresh_readiness(dependents.cloned().collect());
             self.refresh_urgency(dependencies);
         }
     }
--- a/src/store/cluster_state/dependencies.rs
+++ b/src/store/cluster_state/dependencies.rs
@@ -112,6 +112,7 @@
     /// Recomputes whether jobs may start and whether they are cancelled with a dependency. A cancellation
     /// propagates to all jobs downstream immediately, without an intermediate write.
     pub(super) fn refresh_readiness(&mut self, mut pending: Vec<JobId>) {
+        let mut inheriting_jobs = Vec::new();
         while let Some(id) = pending.pop() {
             let Some(job) = self.jobs.get(&id) else {
                 continue;
@@ -127,8 +128,11 @@
             if changed {
                 self.change_count += 1;
                 pending.extend(self.dependents.get(&id).into_iter().flatten().cloned());
+                let job = self.jobs.get(&id);
+                inheriting_jobs.extend(job.into_iter().flat_map(|job| &job.dependencies).cloned());
             }
         }
+        self.refresh_urgency(inheriting_jobs);
     }
 
     fn readiness(&self, id: &JobId, job: &Job) -> Readiness {
--- a/tests/pipeline_urgency.rs
+++ b/tests/pipeline_urgency.rs
@@ -51,3 +51,32 @@
         assert!(job.deadline_at.is_some(), "{number}");
     }
 }
+
+/// Guards against steps that keep the priority and the deadline of a job that was cancelled, by its user or with another
+/// job on which it depends.
+#[test]
+fn steps_inherit_nothing_from_a_cancelled_job() {
+    for cancelled in [2, 3] {
+        let mut view = ClusterState::default();
+        put(&mut view, &job_id(1), &step(10 * SECOND, Vec::new()));
+        put(&mut view, &job_id(2), &step(10 * SECOND, Vec::new()));
+        put(
+            &mut view,
+            &job_id(3),
+            &last_step(vec![job_id(1), job_id(2)]),
+        );
+        assert_eq!(view.jobs[&job_id(1)].priority, Priority::High);
+        let spec = view.jobs[&job_id(cancelled)].spec.as_ref().clone();
+        let spec = JobSpec {
+            cancelled: true,
+            ..spec
+        };
+        put(&mut view, &job_id(cancelled), &spec);
+        let job = &view.jobs[&job_id(1)];
+        assert_eq!(
+            (job.priority, job.deadline_at),
+            (Priority::Normal, None),
+            "{cancelled}"
+        );
+    }
+}
