--- a/benches/growth.rs
+++ b/benches/growth.rs
@@ -6,7 +6,7 @@
 use coppergw::autoscaler::{CapacityForecast, decide};
 use coppergw::ids::MachineId;
 use coppergw::jobs::model::{
-    JobId, JobRecord, JobSpec, Placement, Resources, TaskBlock, TaskState,
+    JobId, JobIdList, JobRecord, JobSpec, Placement, Resources, TaskBlock, TaskState,
 };
 use coppergw::policy::Policy;
 use coppergw::scheduling::{SchedulableMachine, Schedule, SchedulingInput, schedule};
@@ -442,3 +442,53 @@
         size
     });
 }
+
+/// Jobs of each step of a pipeline.
+const JOBS_PER_STEP: usize = 10;
+
+/// Returns a pipeline of steps that depend on all jobs of the step before; the last step has a deadline.
+fn pipeline(job_count: usize) -> Vec<(String, ciborium::Value)> {
+    let step_count = job_count / JOBS_PER_STEP;
+    let ids_of = |step: usize| (step * JOBS_PER_STEP..(step + 1) * JOBS_PER_STEP).map(job_name);
+    let mut stored = Vec::new();
+    for step in 0..step_count {
+        for id in ids_of(step) {
+            let mut spec = job_spec(0, 1, 800);
+            spec.deadline = (step + 1 == step_count).then_some(3_600_000_000);
+            let before = (step > 0).then(|| ids_of(step - 1));
+            let before = before.into_iter().flatten();
+            spec.dependencies.jobs = JobIdList(before.map(|id| id.as_str().into()).collect());
+            let record = to_value(&JobRecord(spec, TaskBlock::default()));
+            stored.push((keys::job(&id), record));
+        }
+    }
+    stored
+}
+
+/// Applies the jobs of a pipeline in the order of their submission, which ends with the step that has a deadline.
+#[divan::bench(args = [100, 1_000, 10_000], sample_count = 10)]
+fn submit_pipeline(bencher: Bencher<'_, '_>, job_count: usize) {
+    let stored = pipeline(job_count);
+    bencher.bench_local(|| {
+        let mut cluster = ClusterState::default();
+        for (index, (key, value)) in stored.iter().enumerate() {
+            cluster.put(key, value, index as u64 + 1);
+        }
+        cluster.jobs.len()
+    });
+}
+
+/// Loads the jobs of a pipeline, the step with the deadline first, as a controller does at its start.
+#[divan::bench(args = [100, 1_000, 10_000], sample_count = 10)]
+fn load_pipeline(bencher: Bencher<'_, '_>, job_count: usize) {
+    let stored = pipeline(job_count);
+    bencher.bench_local(|| {
+        let mut cluster = ClusterState::default();
+        cluster.defer_urgency();
+        for (index, (key, value)) in stored.iter().enumerate().rev() {
+            cluster.put(key, value, index as u64 + 1);
+        }
+        cluster.refresh_deferred_urgency();
+        cluster.jobs.len()
+    });
+}
--- a/src/store/cluster_state/dependencies.rs
+++ b/src/store/cluster_state/dependencies.rs
@@ -1,20 +1,14 @@
 //! Pipelines: dependencies between jobs, and the properties derived from them for each job: whether it may
-//! start, whether it is cancelled with a dependency, and the priority and deadline inherited from its
-//! dependents.
+//! start, and whether it is cancelled with a dependency. `urgency` derives what it inherits from its dependents.
 
-use super::{ClusterState, Job, job};
+use super::{ClusterState, Job};
 use crate::jobs::model::{JobId, JobIdList};
-use crate::time::{Micros, SECOND};
+use crate::time::Micros;
 use crate::wire::from_value;
-use crate::wire::user::Priority;
 use ciborium::Value;
 use foldhash::{HashSet, HashSetExt};
 use std::collections::BTreeMap;
 
-/// Time that one step of a pipeline takes in addition to its run time: its end is reported and written, then
-/// the next step is placed, its start command is sent and its image is fetched.
-const PIPELINE_STEP_OVERHEAD: Micros = 4 * SECOND;
-
 /// Properties of a job that are derived from its dependencies.
 struct Readiness {
     ready: bool,
@@ -22,13 +16,6 @@
     waiting_since: Micros,
 }
 
-/// Priority and deadline of a job, including those inherited from its dependents.
-struct Urgency {
-    priority: Priority,
-    deadline_at: Option<Micros>,
-    deadline_after_submission: Micros,
-}
-
 impl ClusterState {
     pub(super) fn apply_dependency_list(&mut self, name: &str, value: Option<&Value>) {
         let Some((id, Ok(number))) = name
@@ -85,15 +72,7 @@
                 .insert(id.clone());
         }
         self.refresh_readiness(vec![id.clone()]);
-        self.refresh_urgency_of_pipeline(id);
-    }
-
-    /// Recomputes the priority and deadline of a job and of its dependencies, which inherit from it.
-    fn refresh_urgency_of_pipeline(&mut self, id: &JobId) {
-        let job = self.jobs.get(id);
-        let mut jobs = job.map_or_else(Vec::new, |job| job.dependencies.clone());
-        jobs.push(id.clone());
-        self.refresh_urgency(jobs);
+        self.refresh_urgency_of_linked(id);
     }
 
     /// Removes a job from the dependents of its dependencies.
@@ -161,54 +140,6 @@
         }
     }
 
-    /// Recomputes the priority and deadline that jobs inherit from their dependents.
-    pub(super) fn refresh_urgency(&mut self, mut pending: Vec<JobId>) {
-        while let Some(id) = pending.pop() {
-            let Some(job) = self.jobs.get(&id) else {
-                continue;
-            };
-            let urgency = self.urgency(&id, job);
-            if (urgency.priority, urgency.deadline_at) == (job.priority, job.deadline_at) {
-                continue;
-            }
-            pending.extend(job.dependencies.iter().cloned());
-            if let Some(job) = self.jobs.get_mut(&id) {
-                job.priority = urgency.priority;
-                job.deadline_at = urgency.deadline_at;
-                job.deadline_after_submission = urgency.deadline_after_submission;
-            }
-        }
-    }
-
-    /// Returns the highest priority and the earliest deadline among the job's own and those of its
-    /// dependents. The time that a dependent itself takes is subtracted from its deadline.
-    fn urgency(&self, id: &JobId, job: &Job) -> Urgency {
-        let mut urgency = Urgency {
-            priority: job.spec.priority,
-            deadline_at: job::own_deadline(&job.spec),
-            deadline_after_submission: job.spec.deadline.unwrap_or(0),
-        };
-        for dependent in self.dependents.get(id).into_iter().flatten() {
-            let Some(dependent) = self.jobs.get(dependent).filter(|job| !job.cancelled()) else {
-                continue;
-            };
-            urgency.priority = urgency.priority.min(dependent.priority);
-            let step_time = dependent
-                .spec
-                .estimated_run_time
-                .saturating_add(PIPELINE_STEP_OVERHEAD);
-            let latest_end = dependent
-                .deadline_at
-                .map(|deadline| deadline.saturating_sub(step_time));
-            let is_earlier = |end: Micros| urgency.deadline_at.is_none_or(|known| end < known);
-            if latest_end.is_some_and(is_earlier) {
-                urgency.deadline_at = latest_end;
-                urgency.deadline_after_submission = dependent.deadline_after_submission;
-            }
-        }
-        urgency
-    }
-
     /// Returns the direct and indirect dependencies of a job that are unknown: neither unfinished jobs nor
     /// jobs with a known final state. Until they are known, the state of this job cannot be determined.
     pub fn unknown_ancestors(&self, id: &str) -> Vec<JobId> {
--- a/src/store/cluster_state/mod.rs
+++ b/src/store/cluster_state/mod.rs
@@ -22,6 +22,7 @@
 mod machines;
 mod queries;
 mod task_blocks;
+mod urgency;
 
 pub use indexes::Indexes;
 pub use job::Job;
@@ -71,6 +72,8 @@
     dependents: HashMap<JobId, BTreeSet<JobId>>,
     /// Final states of jobs on which unfinished jobs depend. Kept as long as these unfinished jobs exist.
     finished_dependencies: HashMap<JobId, FinishedJob>,
+    /// Jobs whose priority and deadline are recomputed at the end of the load; `None` while no load is in progress.
+    deferred_urgency: Option<HashSet<JobId>>,
     /// Layout version that each controller recorded as supported, by controller name.
     pub versions: BTreeMap<String, LayoutVersion>,
     /// Newer layout of stored values. Set once every controller in the settings can read it.
--- a/src/store/watch_cache/initial_load.rs
+++ b/src/store/watch_cache/initial_load.rs
@@ -11,6 +11,7 @@
     /// Reads the whole state. Keys that no longer exist are removed from the state.
     pub(super) async fn load(&self) -> Result<(), WireError> {
         self.lookups.recent_absences.borrow_mut().clear();
+        self.state.borrow_mut().defer_urgency();
         let mut revisions = RevisionRange::EMPTY;
         for prefix in keys::INITIAL_LOAD_PREFIXES {
             revisions = revisions.union(self.load_prefix(prefix).await?);
@@ -31,6 +32,7 @@
                 break;
             }
         }
+        self.state.borrow_mut().refresh_deferred_urgency();
         self.loaded.set(true);
         tracing::info!(revision = revisions.largest, "cluster state loaded");
         self.notifier.notify();
