Tests: both stand-ins of the state service take a request apart in one place

Change: HttpRequest::path and HttpRequest::parameter in tests/common. Assertions are unchanged; no product file is touched.

--- a/tests/common/state_service.rs
+++ b/tests/common/state_service.rs
@@ -90,14 +90,14 @@
 
     fn answer_requests(&self, stream: &TcpStream, mut on_request: impl FnMut()) {
         let mut reader = BufReader::new(stream.try_clone().expect("a socket"));
-        while let Some(HttpRequest { target, .. }) = read_request(&mut reader) {
+        while let Some(request) = read_request(&mut reader) {
             on_request();
-            write_response(stream, 200, &self.answer(&target));
+            write_response(stream, 200, &self.answer(&request));
         }
     }
 
-    fn answer(&self, target: &str) -> Vec<u8> {
-        let (path, query) = target.split_once('?').unwrap_or((target, ""));
+    fn answer(&self, request: &HttpRequest) -> Vec<u8> {
+        let path = request.path();
         if path == "/watch" {
             return encode(&WatchResponse {
                 revision: REVISION,
@@ -111,14 +111,10 @@
             });
         }
         assert_eq!(path, "/keys");
-        let parameter = |name: &str| {
-            let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-            pairs.find(|(key, _)| *key == name).map(|(_, value)| value)
-        };
-        let most = parameter("most").and_then(|most| most.parse().ok());
+        let most = request.parameter("most").and_then(|most| most.parse().ok());
         self.page(
-            parameter("under").unwrap_or_default(),
-            parameter("after").unwrap_or_default(),
+            request.parameter("under").unwrap_or_default(),
+            request.parameter("after").unwrap_or_default(),
             most.unwrap_or(1000),
         )
     }
@@ -152,10 +148,26 @@
 
 /// Target and body of a request.
 pub(crate) struct HttpRequest {
-    pub(crate) target: String,
+    target: String,
     pub(crate) body: Vec<u8>,
 }
 
+impl HttpRequest {
+    /// Returns the target without the query.
+    pub(crate) fn path(&self) -> &str {
+        self.target
+            .split_once('?')
+            .map_or(&self.target, |(path, _)| path)
+    }
+
+    /// Returns the value of a parameter of the query.
+    pub(crate) fn parameter(&self, name: &str) -> Option<&str> {
+        let (_, query) = self.target.split_once('?')?;
+        let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+        pairs.find(|(key, _)| *key == name).map(|(_, value)| value)
+    }
+}
+
 /// Reads a request; `None` if the connection was closed.
 pub(crate) fn read_request(reader: &mut BufReader<TcpStream>) -> Option<HttpRequest> {
     let mut request_line = String::new();
--- a/tests/repeated_submissions/store.rs
+++ b/tests/repeated_submissions/store.rs
@@ -62,7 +62,7 @@
     fn serve_connection(&self, stream: &TcpStream) {
         let mut reader = BufReader::new(stream.try_clone().expect("a socket"));
         while let Some(request) = read_request(&mut reader) {
-            let is_watch = request.target.starts_with("/watch");
+            let is_watch = request.path() == "/watch";
             let answer = self.state().answer(&request);
             if is_watch && answer.body.is_empty() {
                 std::thread::sleep(WATCH_HOLD);
@@ -89,25 +89,20 @@
 
 impl ServiceState {
     fn answer(&mut self, request: &HttpRequest) -> Answer {
-        let (path, query) = request
-            .target
-            .split_once('?')
-            .unwrap_or((&request.target, ""));
-        let parameter = |name: &str| {
-            let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-            pairs.find(|(key, _)| *key == name).map(|(_, value)| value)
-        };
-        let waits = parameter("hold_ms").is_some_and(|time| time != "0");
+        let path = request.path();
+        let waits = request.parameter("hold_ms").is_some_and(|time| time != "0");
         self.requests += usize::from(!waits);
         if let Some(status) = self.outage_status {
             return Answer::new(status, &());
         }
         match path {
             "/watch" => {
-                let after = parameter("after").and_then(|after| after.parse().ok());
+                let after = request
+                    .parameter("after")
+                    .and_then(|after| after.parse().ok());
                 self.events_after(after.expect("a revision"))
             }
-            "/keys" => self.page(parameter("under").expect("a prefix")),
+            "/keys" => self.page(request.parameter("under").expect("a prefix")),
             TRANSACTION_PATH => self.transaction(&decode(&request.body).expect("a transaction")),
             _ => self.key(path.strip_prefix("/keys/").expect("a key")),
         }
